--- /dev/null
+++ b/lanelead/benchlink/host.py
@@ -0,0 +1,328 @@
+"""Hosts the relays of one process: one decisions object an instance, ids to objects and back, timers."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from random import Random
+from typing import TextIO
+
+from lanelead.benchlink import wire
+from lanelead.benchlink.wire import Malformed, millis
+from lanelead.interface import (
+    BreakOff, CallOff, Close, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase, Probe, Send,
+    Shed, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
+)
+from lanelead.rules import Relay
+
+Words = list[str]
+
+
+class Host:
+    """One instance: its decisions, and the tables between the wire's ids and the objects."""
+
+    def __init__(self, words: Words, now: Ticks) -> None:
+        opening = wire.Opening(words[2:])
+        lanes, members = opening.lanes(), opening.members()
+        self.relay: Decisions = Relay(
+            place=opening.place(),
+            lanes=lanes,
+            members=members,
+            allowance=opening.allowance(),
+            duties=opening.duties(),
+            trial=opening.trial(),
+            poll=opening.poll(),
+            tariff=opening.tariff(),
+            chance=Random(wire.whole(words[1])),
+            now=now,
+        )
+        self.lanes = {lane.name: lane for lane in lanes}
+        self.members = {member.name: member for member in members}
+        self.gauges = opening.words("loadReport.names")
+        self.units: dict[str, Unit] = {}
+        self.unit_ids: dict[Unit, str] = {}
+        self.lookups: dict[str, Lookup] = {}
+        self.lookup_ids: dict[Lookup, str] = {}
+        self.wakes: dict[int, Lookup | None] = {}
+        self.tag = 0
+        self.touched: list[Lookup] = []
+
+    def unit(self, name: str) -> Unit:
+        if name not in self.units:
+            unit = self.relay.meet(zlib.crc32(name.encode()) & 0xFFFF)
+            self.units[name] = unit
+            self.unit_ids[unit] = name
+        return self.units[name]
+
+    def trip(self, msg: str, shot: str) -> Trip | None:
+        """The trip that an event speaks of, or none when its lookup is long forgotten."""
+        lookup = self.lookups.get(wire.ident(msg))
+        if lookup is None:
+            return None
+        place = wire.whole(shot)
+        if not 0 <= place < len(lookup.trips):
+            raise Malformed(f"no trip {shot} of lookup {msg}")
+        return lookup.trips[place]
+
+    def forget(self) -> None:
+        """Drops the lookups just touched that are over and have no trip out any more."""
+        for lookup in self.touched:
+            if lookup.over and all(trip.fate for trip in lookup.trips):
+                msg = self.lookup_ids.pop(lookup, None)
+                if msg is not None:
+                    del self.lookups[msg]
+        self.touched.clear()
+
+    # Events
+
+    def roster(self, words: Words, entries: list[Words]) -> None:
+        coverage = wire.known(wire.COVERAGES, words[1])
+        listings = []
+        for _, zone, cell, since, kind, name, build, size, condition in entries:
+            listings.append(
+                Listing(
+                    unit=self.unit(name),
+                    zone=zone,
+                    cell=int(wire.number(cell)),
+                    kind=kind,
+                    since=wire.ticks(since),
+                    build=int(wire.number(build)),
+                    size=wire.number(size, 1.0),
+                    condition=wire.known(wire.CONDITIONS, condition),
+                )
+            )
+        self.relay.roster(coverage, listings)
+
+    def ask(self, words: Words) -> None:
+        _, msg, lane, member, key, left, hint, again, write = words
+        lookup = Lookup(
+            lane=wire.known(self.lanes, lane),
+            member=None if member in ("-", "0") else wire.known(self.members, member),
+            key=None if key == "-" else key,
+            taken=self.relay.now,
+            due=self.relay.now + wire.ticks(left),
+            hint=None if hint == "-" else wire.ticks(hint),
+            again=wire.flag(again),
+            write=wire.flag(write),
+        )
+        self.lookups[wire.ident(msg)] = lookup
+        self.lookup_ids[lookup] = msg
+        self.relay.take(lookup)
+
+    def answer(self, words: Words) -> None:
+        _, msg, name, shot, finished, outcome, took, gauge = words
+        trip = self.trip(msg, shot)
+        if trip is None:
+            return
+        if self.unit_ids[trip.unit] != name:
+            raise Malformed(f"trip {shot} of lookup {msg} went to {self.unit_ids[trip.unit]}, not {name}")
+        fate = wire.known(wire.FATES, outcome)
+        closed, load = wire.flag(finished), wire.report(gauge, self.gauges)
+        self.relay.ended(trip, fate, closed, wire.ticks(took), load)
+        self.touched.append(trip.lookup)
+
+    def accepted(self, words: Words) -> None:
+        trip = self.trip(words[1], words[3])
+        if trip is not None:
+            self.relay.started(trip)
+
+    def client_left(self, words: Words) -> None:
+        lookup = self.lookups.get(wire.ident(words[1]))
+        if lookup is not None:
+            self.relay.left(lookup)
+            self.touched.append(lookup)
+
+    def heard(self, words: Words) -> None:
+        self.relay.heard(wire.whole(words[1]), wire.octets(words[2]))
+
+    def bad_answer(self, words: Words) -> None:
+        lane = wire.known(self.lanes, words[2])
+        self.relay.complaint(self.unit(words[1]), lane, wire.ticks(words[3]))
+
+    def rollout_state(self, words: Words) -> None:
+        _, image, tranche, course, code, outcome, exposure, age = words
+        phases = {str(phase.value): phase for phase in Phase}
+        self.relay.news(
+            News(
+                build=int(wire.number(image)),
+                stage=int(wire.number(tranche)),
+                phase=Phase.TRIAL if course == "-" else wire.known(phases, course),
+                cap=wire.number(exposure),
+                age=wire.ticks(age),
+                answer=wire.flag(code),
+                word=wire.known(wire.FATES, outcome),
+            )
+        )
+
+    def period_sums(self, words: Words) -> None:
+        _, image, lost, lane, age, samples, took = words
+        self.relay.tally(
+            Tally(
+                build=wire.whole(image),
+                lane=wire.known(self.lanes, lane),
+                trips=wire.whole(samples),
+                lost=wire.whole(lost),
+                took=wire.ticks(took),
+                age=wire.ticks(age),
+            )
+        )
+
+    def probe_done(self, words: Words) -> None:
+        _, name, outcome, took, gauge = words
+        fate, load = wire.known(wire.FATES, outcome), wire.report(gauge, self.gauges)
+        self.relay.probed(self.unit(name), fate, wire.ticks(took), load)
+
+    def elapsed(self, words: Words) -> None:
+        tag = wire.whole(words[1])
+        if tag not in self.wakes:
+            raise Malformed(f"no timer {tag}")
+        lookup = self.wakes.pop(tag)
+        self.relay.wake(lookup)
+        if lookup is not None:
+            self.touched.append(lookup)
+
+    # Acts
+
+    def drain(self, lines: list[str]) -> None:
+        """Writes down what the decisions want done, in order."""
+        acts = self.relay.acts
+        for act in acts:
+            match act:
+                case Send(trip):
+                    ids = self.lookup_ids[trip.lookup], self.unit_ids[trip.unit]
+                    lines.append(f"CALL_OUT {ids[0]} {ids[1]} {millis(trip.limit)}")
+                case Wake(at, lookup):
+                    self.tag += 1
+                    self.wakes[self.tag] = lookup
+                    lines.append(f"AFTER {self.tag} {millis(at)}")
+                case Shed(lookup, come_back):
+                    lines.append(f"DENY {self.lookup_ids[lookup]} {millis(come_back)}")
+                    self.touched.append(lookup)
+                case BreakOff(lookup):
+                    lines.append(f"RESPOND_ERROR {self.lookup_ids[lookup]}")
+                    self.touched.append(lookup)
+                case CallOff(trip):
+                    lookup_id = self.lookup_ids.get(trip.lookup)
+                    if lookup_id is not None:
+                        lines.append(f"RETRACT {lookup_id} {trip.number}")
+                case Probe(unit):
+                    lines.append(f"SAMPLE {self.unit_ids[unit]}")
+                case Close(unit):
+                    lines.append(f"FREE_LINKS {self.unit_ids[unit]}")
+                case Tell(peer, text):
+                    lines.append(f"WRITE_PEER {-1 if peer is None else peer} {text.hex() or '-'}")
+                case Vote(build, stage, verdict):
+                    lines.append(f"SAY_SO {build} {verdict.value} {stage}")
+                case Watch(on):
+                    lines.append(f"STREAM_CHANGES {int(on)}")
+                case Fetch():
+                    lines.append("READ_LIST")
+                case Note(text):
+                    lines.append(f"REMARK {text}")
+        acts.clear()
+        self.forget()
+
+
+EVENTS: dict[str, Callable[[Host, Words], None]] = {
+    "ASK": Host.ask,
+    "ANSWER": Host.answer,
+    "ELAPSED": Host.elapsed,
+    "ACCEPTED": Host.accepted,
+    "TIMED_OUT_CLIENT": Host.client_left,
+    "HEARD": Host.heard,
+    "BAD_ANSWER": Host.bad_answer,
+    "ROLLOUT_STATE": Host.rollout_state,
+    "PERIOD_SUMS": Host.period_sums,
+    "PROBE_DONE": Host.probe_done,
+}
+
+
+class Floor:
+    """All instances of the process, and the numbered lists that their roster events refer to."""
+
+    def __init__(self) -> None:
+        self.hosts: dict[str, Host] = {}
+        self.lists: dict[int, list[Words]] = {}
+
+    def batch(self, lines: list[str]) -> list[str]:
+        """One batch of lines, from TICK up to but without OVER_TO_YOU, answered by the reply's lines."""
+        head = wire.split(lines[0])
+        if head[0] != "TICK":
+            raise Malformed(f"a batch that begins with {head[0]}")
+        now, number = wire.ticks(head[1]), wire.whole(head[2])
+        named: dict[str, list[str]] = {}
+        name, place = "", 1
+        while place < len(lines):
+            words = wire.split(lines[place])
+            place += 1
+            if words[0] == "FOR":
+                name = words[1]
+                named.setdefault(name, [])
+            elif words[0] == "MANIFEST":
+                many = wire.whole(words[2])
+                entries = [wire.split(line) for line in lines[place : place + many]]
+                if len(entries) != many or any(entry[0] != "ENTRY" for entry in entries):
+                    raise Malformed("a list shorter than it says")
+                self.lists[wire.whole(words[1])] = entries
+                place += many
+            elif not name:
+                raise Malformed(f"{words[0]} for no instance")
+            else:
+                try:
+                    self.event(name, words, now)
+                except Malformed as fault:
+                    raise Malformed(f"{fault}, in {' '.join(words)[:300]!r}") from None
+        out = []
+        for name in named:
+            host = self.hosts.get(name)
+            reply: list[str] = []
+            if host is not None:
+                host.drain(reply)
+            if reply:
+                out.append(f"AT {name}")
+                out.extend(reply)
+        out.append(f"EOR {number}")
+        return out
+
+    def event(self, name: str, words: Words, now: Ticks) -> None:
+        if words[0] == "BEGIN":
+            self.hosts[name] = Host(words, now)
+            return
+        host = self.hosts.get(name)
+        if host is None:
+            raise Malformed(f"{words[0]} for {name}, which has not begun")
+        host.relay.now = now
+        if words[0] == "STOP":
+            del self.hosts[name]
+        elif words[0] == "DIRECTORY_UPDATE":
+            failed = wire.known(wire.COVERAGES, words[1]) is Coverage.FAILED
+            place = 0 if failed else wire.whole(words[3])
+            if not failed and place not in self.lists:
+                raise Malformed(f"no list {place}")
+            host.roster(words, [] if failed else self.lists[place])
+        elif words[0] in EVENTS:
+            EVENTS[words[0]](host, words)
+        else:
+            raise Malformed(f"{words[0]} out of place")
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answers batch after batch until the input ends."""
+    floor = Floor()
+    lines: list[str] = []
+    for line in source:
+        if line.startswith("OVER_TO_YOU"):
+            if not lines:
+                raise Malformed("a batch without its TICK")
+            sink.write("\n".join(floor.batch(lines)) + "\n")
+            sink.flush()
+            lines = []
+        elif not lines and not line.strip():
+            continue
+        else:
+            lines.append(line)
+    if lines:
+        raise Malformed("the input ends inside a batch")
+
+
+
