Bound each unit's open trips by how quickly it answers

Cause: once the fleet was overloaded, every unit's queue grew past the expected time and all work was wasted.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -50,7 +50,7 @@
 class Server(Unit):
     """A unit as this relay knows it: what the roster says, and what its own trips have shown."""
 
-    __slots__ = ("aside", "cold_sends", "listed", "open", "out", "pace", "strikes", "trips")
+    __slots__ = ("aside", "cold_sends", "done", "listed", "open", "out", "pace", "strikes", "trips")
 
     def __init__(self, mark: int, span: Ticks) -> None:
         super().__init__(mark)
@@ -58,6 +58,7 @@
         self.listed: Ticks = 0
         self.aside: Ticks = 0  # set aside until then
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
+        self.done = Fading(2 * SECOND)
         self.cold_sends: deque[Ticks] = deque()
         self.open: dict[Lane, Window] = {}
 
@@ -352,10 +353,10 @@
 class Health:
     """Sets failing units aside, never more than half of the fleet, and counts what goes to a cold one."""
 
-    def __init__(self, duties: Duties, rest: Ticks, span: Ticks, chance: Random) -> None:
+    def __init__(self, duties: Duties, target: Ticks, rest: Ticks, chance: Random) -> None:
         self._share, self._time = duties.cold_share, duties.cold_time
         self._multiple, self._fall = duties.fall_multiple, duties.fall_time
-        self._rest, self._span, self._chance = rest, span, chance
+        self._target, self._rest, self._chance = target, rest, chance
 
     def note(self, server: Server, strike: float, ready: Sequence[Server], now: Ticks) -> None:
         server.trips.add(now, 1)
@@ -366,6 +367,14 @@
         if 2 * sum(other.aside > now for other in ready) < len(ready):
             server.aside = now + self._rest + int(self._rest * self._chance.random())
 
+    def room(self, server: Server, now: Ticks) -> bool:
+        """May a unit hold one more of this relay's trips? As many as it lately did in half the expected time,
+        and one to learn by. Guards against queues too long for any answer to come in time, whatever fills them
+        (a burst, a slow build, a neighbour), and leaves a silent unit a single trip. It could do harm where
+        answers come in bunches; the one to learn by lets the figure grow again.
+        """
+        return len(server.out) < 1 + 1.25 * server.done.read(now) / (2 * SECOND) * self._target
+
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
         """May a unit that has just started take one more? `usual`: this relay's trips a warm unit and second.
 
@@ -400,7 +409,9 @@
         self._exposure = Exposure(trial, lanes)
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, patience=SECOND, ripe=5 * SECOND)
         self._ballot = Ballot(poll, 5 * SECOND, chance)
-        self._health = Health(duties, 2 * self._longest, 2 * self._longest, chance)
+        target = sum(lane.expected_time for lane in lanes) // len(lanes) // 2
+        self._health = Health(duties, target, 2 * self._longest, chance)
+        self._waiting: dict[Lookup, None] = {}
         self._journeys: dict[Lookup, Journey] = {}
         self._resume: dict[Lookup, Ticks] = {}
         self._rate = Fading(4 * SECOND)
@@ -454,6 +465,7 @@
             self._end(lookup)
         elif not lookup.over:
             self._advance(lookup, self._journeys[lookup], trip)
+        self._relieve()
 
     def left(self, lookup: Lookup) -> None:
         self._end(lookup)
@@ -516,6 +528,7 @@
         strike = {Fate.UNREACHABLE: 2.0, Fate.CUT: 1.0, Fate.ERROR: 1.0, Fate.TIMED_OUT: 1.0}.get(fate, 0.0)
         self._health.note(server, strike, self._roster.ready, self.now)
         if fate is Fate.DONE:
+            server.done.add(self.now, 1)
             server.pace.add(self.now, took / lane.expected_time)
 
     # Choosing a server
@@ -565,6 +578,7 @@
         pool = [server for server in self._roster.ready if self._permitted(server, lookup)]
         pool = [server for server in pool if server not in tried] or pool
         pool = [server for server in pool if server.aside <= self.now] or pool
+        pool = [server for server in pool if self._health.room(server, self.now)]
         if not pool:
             return None
         newest = max(server.build for server in pool)
@@ -578,10 +592,7 @@
 
     def _two(self, pool: Sequence[Server]) -> Server | None:
         """Two random choices."""
-        if len(pool) < 2:
-            return pool[0] if pool else None
-        one, other = self._chance.sample(pool, 2)
-        return one if self._cost(one) <= self._cost(other) else other
+        return min(self._chance.sample(pool, min(2, len(pool))), key=self._cost, default=None)
 
     # A lookup's way
 
@@ -589,7 +600,7 @@
         """One lookup, from its taking to its final answer."""
         lane = lookup.lane
         copy_at = lookup.taken + lane.expected_time // 2
-        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time)
+        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 2)
         while True:
             server = self._choose(lookup)
             if server is not None:
@@ -597,7 +608,8 @@
             elif not self._roster.ready or self.now >= give_up or not self._may_open(lookup):
                 break
             else:
-                yield min(self.now + lane.expected_time // 10, give_up)
+                self._waiting[lookup] = None
+                yield give_up
                 continue
             while any(trip.fate is None for trip in lookup.trips):
                 copying = self.now < copy_at and self._allowance.second_copies
@@ -619,9 +631,17 @@
         """Second copies stay a small part of the traffic: a slow fleet is not loaded further."""
         return self._copies.read(self.now) < 0.1 * self._rate.read(self.now)
 
+    def _relieve(self) -> None:
+        """Room has come up: the waiting lookups that are worth most for their time go first."""
+        if self._waiting:
+            worth = {lookup: lookup.lane.value / lookup.lane.expected_time for lookup in self._waiting}
+            for lookup in sorted(worth, key=lambda waiting: -worth[waiting])[:3]:
+                self._advance(lookup, self._journeys[lookup], None)
+
     def _advance(self, lookup: Lookup, journey: Journey, trip: Trip | None, start: bool = False) -> None:
         """Lets a lookup go on until it waits or is over."""
         self._resume.pop(lookup, None)
+        self._waiting.pop(lookup, None)
         try:
             want = next(journey) if start else journey.send(trip)
             while isinstance(want, Server):
@@ -658,6 +678,7 @@
             return
         lookup.over = True
         self._journeys.pop(lookup, None)
+        self._waiting.pop(lookup, None)
         self._resume.pop(lookup, None)
         for trip in lookup.trips:
             if trip.fate is None and self._allowance.calling_off and not trip.streaming:
