--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -206,11 +206,12 @@
 
 FAULTS = {Fate.TURNED_AWAY: Fault.SHUT, Fate.UNREACHABLE: Fault.SHUT, Fate.CUT: Fault.SHUT}
 FAULTS[Fate.ERROR] = Fault.BROKEN
+HARD = (Fault.BROKEN, Fault.WRONG)
 
 
 @dataclass(slots=True, eq=False)
 class Window:
-    """The outcomes of one lane at one server, from one whole second on until it is full enough to judge."""
+    """The outcomes of one lane at one server, from a whole second on until there are enough to judge."""
 
     server: Server
     lane: Lane
@@ -249,7 +250,8 @@
         """Closes the windows that are full or old enough, and scores them; call it once a second."""
         closed = []
         for window in list(self._open):
-            if window.outcomes >= self._fill or now - window.start >= self._patience:
+            hard = sum(window.faults.get(fault, 0) for fault in HARD)
+            if window.outcomes >= self._fill or now - window.start >= self._patience or hard > 2:
                 del self._open[window]
                 if window.server.open.get(window.lane) is window:
                     del window.server.open[window.lane]
@@ -259,8 +261,9 @@
         while self._windows and self._windows[0].start < min(self._stage_start, now) - 2 * self._span:
             self._windows.popleft()
         for window in closed:
-            if window.outcomes >= self._fill and window.start - window.server.listed >= self._ripe:
-                for fault in window.faults:
+            for fault in window.faults:
+                # Coldness makes a server slow, but never wrong: only slowness has to wait until it is ripe.
+                if fault in HARD or window.start - window.server.listed >= self._ripe:
                     self._judge(window, fault, trial, now)
         while self._marks and self._marks[0][0] < now - self._span:
             self._marks.popleft()
@@ -290,19 +293,22 @@
 
     def margin(self, servers: Iterable[Server], trial: int, now: Ticks, span: Ticks | None = None) -> float:
         """How far the trial servers' mean score exceeds the earlier build's over the last few seconds."""
-        ripe = [server for server in servers if now - server.listed >= self._ripe]
-        new = {server: 0.0 for server in ripe if server.build == trial}
-        old = {server: 0.0 for server in ripe if server.build < trial}
+        new = {server: 0.0 for server in servers if server.build == trial}
+        old = {server: 0.0 for server in servers if server.build < trial}
         for at, server, score, fault in self._marks:
             if at < now - (span or self._span):
                 continue
             if server in new:
                 # With no earlier server left to compare with, slowness is as likely the load's doing.
-                new[server] += score if old or fault in (Fault.BROKEN, Fault.WRONG) else 0.0
+                new[server] += score if old or fault in HARD else 0.0
             elif server in old:
                 old[server] += score
         if not new:
             return 0.0
+        # Guards against a trouble of one machine (fast errors, a neighbour) that would carry the mean alone: no
+        # server counts for more than twice the margin, so half of the trial servers have to show the fault.
+        # It could do harm with a build that fails on a few machines only; there the wait for 'on' still holds.
+        new = {server: min(score, 6.0) for server, score in new.items()}
         return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0)
 
 
@@ -369,9 +375,9 @@
 
     def room(self, server: Server, now: Ticks) -> bool:
         """May a unit hold one more of this relay's trips? As many as it lately did in half the expected time,
-        and one to learn by. Guards against queues too long for any answer to come in time, whatever fills them
-        (a burst, a slow build, a neighbour), and leaves a silent unit a single trip. It could do harm where
-        answers come in bunches; the one to learn by lets the figure grow again.
+        and one to learn by. Guards against queues too long for any answer to come in time, whatever fills
+        them (a burst, a slow build, a neighbour), and leaves a silent unit a single trip. It could do harm
+        where answers come in bunches; the one to learn by lets the figure grow again.
         """
         return len(server.out) < 1 + 1.25 * server.done.read(now) / (2 * SECOND) * self._target
 
@@ -407,7 +413,7 @@
         self._longest = max(lane.expected_time for lane in lanes)
         self._roster = Roster()
         self._exposure = Exposure(trial, lanes)
-        self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, patience=SECOND, ripe=5 * SECOND)
+        self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, patience=5 * SECOND, ripe=5 * SECOND)
         self._ballot = Ballot(poll, 5 * SECOND, chance)
         target = sum(lane.expected_time for lane in lanes) // len(lanes) // 2
         self._health = Health(duties, target, 2 * self._longest, chance)
