--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -18,14 +18,16 @@
 from enum import Enum
 from math import exp, sqrt
 from random import Random
+from struct import Struct
 
 from lanelead.interface import (
     Act, Allowance, BreakOff, CallOff, Condition, Control, Coverage, Duties, Fate, Fetch, Lane, Listing,
-    Lookup, Member, News, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Tally, Tariff, Ticks,
+    Lookup, Member, News, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Tally, Tariff, Tell, Ticks,
     Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
 
 SECOND: Ticks = 10_000
+ROW = Struct(">HHB5B")  # what relays tell each other: unit, build, lane; outcomes, then each kind of fault
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
@@ -237,14 +239,16 @@
     def stage(self, start: Ticks) -> None:
         self._stage_start = start
 
-    def record(self, server: Server, lane: Lane, fault: Fault | None, now: Ticks, outcomes: int = 1) -> None:
+    def record(
+        self, server: Server, lane: Lane, faults: dict[Fault, int], now: Ticks, outcomes: int = 1
+    ) -> None:
         window = server.open.get(lane)
         if window is None:
             window = server.open[lane] = Window(server, lane, now - now % SECOND)
             self._open[window] = None
         window.outcomes += outcomes
-        if fault is not None:
-            window.faults[fault] = window.faults.get(fault, 0) + 1
+        for fault, many in faults.items():
+            window.faults[fault] = window.faults.get(fault, 0) + many
 
     def close(self, trial: int, now: Ticks) -> None:
         """Closes the windows that are full or old enough, and scores them; call it once a second."""
@@ -305,9 +309,9 @@
                 old[server] += score
         if not new:
             return 0.0
-        # Guards against a trouble of one machine (fast errors, a neighbour) that would carry the mean alone: no
-        # server counts for more than twice the margin, so half of the trial servers have to show the fault.
-        # It could do harm with a build that fails on a few machines only; there the wait for 'on' still holds.
+        # Guards against a trouble of one machine (fast errors, a neighbour) that would carry the mean alone:
+        # no server counts for more than twice the margin, so half of the trial servers have to show the
+        # fault. It could do harm with a build that fails on a few machines only; there 'on' still waits.
         new = {server: min(score, 6.0) for server, score in new.items()}
         return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0)
 
@@ -425,6 +429,7 @@
         self._stage: tuple[int, int] | None = None
         self._margin = 0.0
         self._tallied: dict[int, Server] = {}
+        self._untold: dict[tuple[Server, Lane], list[int]] = {}
         self.acts.append(Wake(now + SECOND // 2, None))
         if duties.subscribe:
             self.acts.append(Watch(True))
@@ -483,16 +488,39 @@
             self._advance(lookup, self._journeys[lookup], None)
 
     def heard(self, peer: int, text: bytes) -> None:
-        pass
+        """Takes a peer's outcomes at a build on trial for its own; what makes no sense here is passed over."""
+        marks = {(server.mark, server.build): server for server in self._roster.ready}
+        for mark, build, place, outcomes, *many in ROW.iter_unpack(text[: len(text) // ROW.size * ROW.size]):
+            server = marks.get((mark, build))
+            if server is not None and place < len(self._lanes):
+                faults = {fault: count for fault, count in zip(Fault, many, strict=True) if count}
+                self._scoring.record(server, self._lanes[place], faults, self.now, outcomes)
+
+    def _witness(self, server: Server, lane: Lane, fault: Fault | None, outcomes: int) -> None:
+        """Counts an outcome. Early stages give one relay too few, so it tells its peers of those on trial."""
+        self._scoring.record(server, lane, {fault: 1} if fault else {}, self.now, outcomes)
+        if self._allowance.peers and self._exposure.on_trial(server.build):
+            row = self._untold.setdefault((server, lane), [0] * (1 + len(Fault)))
+            row[0] += outcomes
+            if fault:
+                row[1 + list(Fault).index(fault)] += 1
+
+    def _tell(self) -> None:
+        rows = [
+            ROW.pack(server.mark, server.build, self._lanes.index(lane), *(min(many, 255) for many in row))
+            for (server, lane), row in self._untold.items()
+        ]
+        self._untold.clear()
+        for place in range(0, len(rows), 256 // ROW.size):
+            self.acts.append(Tell(None, b"".join(rows[place : place + 256 // ROW.size])))
 
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None:
-        self._scoring.record(mine(unit), lane, Fault.WRONG, self.now, outcomes=0)
+        self._witness(mine(unit), lane, Fault.WRONG, 0)
 
     def tally(self, tally: Tally) -> None:
         source = self._tallied.setdefault(tally.build, Server(0, self._longest))
         source.build = tally.build
-        for place in range(tally.trips):
-            self._scoring.record(source, tally.lane, Fault.BROKEN if place < tally.lost else None, self.now)
+        self._scoring.record(source, tally.lane, {Fault.BROKEN: tally.lost}, self.now, tally.trips)
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         pass
@@ -503,6 +531,7 @@
 
     def _tick(self) -> None:
         self.acts.append(Wake(self.now + SECOND // 2, None))
+        self._tell()
         news = self._exposure.news
         if news is None:
             return
@@ -530,7 +559,7 @@
         lane = trip.lookup.lane
         slow = fate is Fate.TIMED_OUT or took > lane.expected_time
         fault = FAULTS.get(fate, Fault.SLOW if slow else None)
-        self._scoring.record(server, lane, fault, self.now)
+        self._witness(server, lane, fault, 1)
         strike = {Fate.UNREACHABLE: 2.0, Fate.CUT: 1.0, Fate.ERROR: 1.0, Fate.TIMED_OUT: 1.0}.get(fate, 0.0)
         self._health.note(server, strike, self._roster.ready, self.now)
         if fate is Fate.DONE:
