--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -488,7 +488,7 @@
             self._advance(lookup, self._journeys[lookup], None)
 
     def heard(self, peer: int, text: bytes) -> None:
-        """Takes a peer's outcomes at a build on trial for its own; what makes no sense here is passed over."""
+        """Takes a peer's outcomes at a build on trial for its own; what makes no sense is passed over."""
         marks = {(server.mark, server.build): server for server in self._roster.ready}
         for mark, build, place, outcomes, *many in ROW.iter_unpack(text[: len(text) // ROW.size * ROW.size]):
             server = marks.get((mark, build))
