Score the whole build too, without its worst quarter of servers

Cause: builds that fail a little everywhere left one or two faults in each server's window, under the floor.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -206,6 +206,12 @@
     SHUT = 0.01  # turned away, unreachable, cut: the machine's doing or the load's, hardly ever the build's
 
 
+def percentile(value: float, among: Sequence[float]) -> float:
+    """The part of the others that the value exceeds, those equal to it counted half."""
+    ordered = sorted(among)
+    return (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2 / max(1, len(ordered))
+
+
 FAULTS = {Fate.TURNED_AWAY: Fault.SHUT, Fate.UNREACHABLE: Fault.SHUT, Fate.CUT: Fault.SHUT}
 FAULTS[Fate.ERROR] = Fault.BROKEN
 HARD = (Fault.BROKEN, Fault.WRONG)
@@ -280,20 +286,53 @@
         base = before or [w for w in earlier if w.start >= now - floor]
         if not base:
             return
-        many = sum(w.outcomes for w in base)
-        mean = sum(w.faults.get(fault, 0) for w in base) / many
-        # The source's deviation is that of the earlier windows; ours hold too few outcomes each for that, so
-        # it is the one that a window as full as this would have, and never less than one outcome's share.
-        deviation = max(sqrt(mean * max(0.0, 1 - mean) / window.outcomes), 1 / window.outcomes)
-        share = window.share(fault)
-        z = (share - mean) / deviation
+        z = self._z(window.faults.get(fault, 0), window.outcomes, fault, base)
         if z <= 2:
             return
         gap = max(0, now - (window.server.since if window.server.build >= trial else self._stage_start))
-        decay = 1 / (gap / self._scale + 1)
-        shares = sorted(w.share(fault) for w in like if w.start >= now - floor)
-        percentile = 50 * (bisect_left(shares, share) + bisect_right(shares, share)) / len(shares)
-        self._marks.append((now, window.server, z * decay * percentile / 100 * fault.value, fault))
+        shares = [w.share(fault) for w in like if w.start >= now - floor]
+        score = z * self._decay(gap) * percentile(window.share(fault), shares) * fault.value
+        self._marks.append((now, window.server, score, fault))
+
+    def _decay(self, gap: Ticks) -> float:
+        return 1 / (max(0, gap) / self._scale + 1)
+
+    def _z(self, faults: int, outcomes: int, fault: Fault, base: Sequence[Window]) -> float:
+        mean = sum(w.faults.get(fault, 0) for w in base) / sum(w.outcomes for w in base)
+        # The source's deviation is that of the earlier windows; ours hold too few outcomes each for that, so
+        # it is the one that a window as full as this would have, and never less than one outcome's share.
+        deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
+        return (faults / outcomes - mean) / deviation
+
+    def _pooled(self, servers: Sequence[Server], trial: int, newest: Ticks, now: Ticks) -> float:
+        """The same score for a whole build over the last 5 s: trial servers' less the earlier ones'.
+
+        Guards against a fault spread so thinly over many servers that no window of one server shows it. The
+        worst quarter of the servers is left out, so that a trouble of a few machines does not pass for one.
+        """
+        earlier = [w for w in self._windows if w.server.build < trial]
+        floor = 2 * self._span
+        before = [w for w in earlier if self._stage_start - floor <= w.start < self._stage_start]
+        base = before or [w for w in earlier if w.start >= now - floor]
+        lately = [w for w in [*self._windows, *self._open] if w.start >= now - self._span and w.outcomes]
+        total = 0.0
+        for fault in Fault if base else ():
+            counts = {server: [0, 0] for server in servers}
+            for w in lately:
+                if w.server in counts and (fault in HARD or w.start - w.server.listed >= self._ripe):
+                    counts[w.server][0] += w.faults.get(fault, 0)
+                    counts[w.server][1] += w.outcomes
+            shares = [faults / many for faults, many in counts.values() if many]
+            for sign, new in ((1, True), (-1, False)):
+                side = [counts[s] for s in servers if (s.build == trial) is new and counts[s][1]]
+                side.sort(key=lambda count: -count[0] / count[1])
+                side = side[len(side) // 4 + (len(side) > 1) :]
+                faults, many = sum(count[0] for count in side), sum(count[1] for count in side)
+                z = self._z(faults, many, fault, base) if many else 0.0
+                if z > 2:
+                    rank = percentile(faults / many, shares)
+                    total += sign * z * self._decay(now - newest) * rank * fault.value
+        return total
 
     def margin(self, servers: Iterable[Server], trial: int, now: Ticks, span: Ticks | None = None) -> float:
         """How far the trial servers' mean score exceeds the earlier build's over the last few seconds."""
@@ -313,7 +352,8 @@
         # no server counts for more than twice the margin, so half of the trial servers have to show the
         # fault. It could do harm with a build that fails on a few machines only; there 'on' still waits.
         new = {server: min(score, 6.0) for server, score in new.items()}
-        return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0)
+        pooled = self._pooled([*new, *old], trial, max(server.since for server in new), now)
+        return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0) + pooled
 
 
 class Ballot:
