--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -539,7 +539,8 @@
     def _witness(self, server: Server, lane: Lane, fault: Fault | None, outcomes: int) -> None:
         """Counts an outcome. Early stages give one relay too few, so it tells its peers of those on trial."""
         self._scoring.record(server, lane, {fault: 1} if fault else {}, self.now, outcomes)
-        if self._allowance.peers and self._exposure.on_trial(server.build):
+        # Faults at earlier servers are told too: judged on less evidence, they would hide a trouble of both.
+        if self._allowance.peers and (fault in HARD or self._exposure.on_trial(server.build)):
             row = self._untold.setdefault((server, lane), [0] * (1 + len(Fault)))
             row[0] += outcomes
             if fault:
