--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -418,12 +418,12 @@
             server.aside = now + self._rest + int(self._rest * self._chance.random())
 
     def room(self, server: Server, now: Ticks) -> bool:
-        """May a unit hold one more of this relay's trips? As many as it lately did in half the expected time,
-        and one to learn by. Guards against queues too long for any answer to come in time, whatever fills
+        """May a unit hold one more of this relay's trips? As many as it lately did in three quarters of the
+        expected time, and one at the least to learn by. Guards against queues too long for any answer to come in time, whatever fills
         them (a burst, a slow build, a neighbour), and leaves a silent unit a single trip. It could do harm
         where answers come in bunches; the one to learn by lets the figure grow again.
         """
-        return len(server.out) < 1 + 1.25 * server.done.read(now) / (2 * SECOND) * self._target
+        return len(server.out) < max(1.0, 1.5 * server.done.read(now) / (2 * SECOND) * self._target)
 
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
         """May a unit that has just started take one more? `usual`: this relay's trips a warm unit and second.
@@ -676,7 +676,7 @@
         """One lookup, from its taking to its final answer."""
         lane = lookup.lane
         copy_at = lookup.taken + lane.expected_time // 2
-        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 2)
+        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 4)
         while True:
             server = self._choose(lookup)
             if server is not None:
