--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -22,8 +22,8 @@
 
 from lanelead.interface import (
     Act, Allowance, BreakOff, CallOff, Condition, Control, Coverage, Duties, Fate, Fetch, Lane, Listing,
-    Lookup, Member, News, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Tally, Tariff, Tell, Ticks,
-    Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
+    Lookup, Member, News, Note, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Tally, Tariff, Tell,
+    Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
 
 SECOND: Ticks = 10_000
@@ -304,7 +304,7 @@
         deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
         return (faults / outcomes - mean) / deviation
 
-    def _pooled(self, servers: Sequence[Server], trial: int, newest: Ticks, now: Ticks) -> float:
+    def _pooled(self, servers: Sequence[Server], trial: int, now: Ticks) -> float:
         """The same score for a whole build over the last 5 s: trial servers' less the earlier ones'.
 
         Guards against a fault spread so thinly over many servers that no window of one server shows it. The
@@ -317,12 +317,12 @@
         lately = [w for w in [*self._windows, *self._open] if w.start >= now - self._span and w.outcomes]
         total = 0.0
         for fault in Fault if base else ():
-            counts = {server: [0, 0] for server in servers}
+            counts = {server: [0, 0, server.since] for server in servers}
             for w in lately:
                 if w.server in counts and (fault in HARD or w.start - w.server.listed >= self._ripe):
                     counts[w.server][0] += w.faults.get(fault, 0)
                     counts[w.server][1] += w.outcomes
-            shares = [faults / many for faults, many in counts.values() if many]
+            shares = [faults / many for faults, many, _ in counts.values() if many]
             for sign, new in ((1, True), (-1, False)):
                 side = [counts[s] for s in servers if (s.build == trial) is new and counts[s][1]]
                 side.sort(key=lambda count: -count[0] / count[1])
@@ -331,7 +331,8 @@
                 z = self._z(faults, many, fault, base) if many else 0.0
                 if z > 2:
                     rank = percentile(faults / many, shares)
-                    total += sign * z * self._decay(now - newest) * rank * fault.value
+                    gap = now - (sum(count[2] for count in side) // len(side) if new else self._stage_start)
+                    total += sign * z * self._decay(gap) * rank * fault.value
         return total
 
     def margin(self, servers: Iterable[Server], trial: int, now: Ticks, span: Ticks | None = None) -> float:
@@ -352,7 +353,7 @@
         # no server counts for more than twice the margin, so half of the trial servers have to show the
         # fault. It could do harm with a build that fails on a few machines only; there 'on' still waits.
         new = {server: min(score, 6.0) for server, score in new.items()}
-        pooled = self._pooled([*new, *old], trial, max(server.since for server in new), now)
+        pooled = self._pooled([*new, *old], trial, now)
         return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0) + pooled
 
 
@@ -419,9 +420,9 @@
 
     def room(self, server: Server, now: Ticks) -> bool:
         """May a unit hold one more of this relay's trips? As many as it lately did in three quarters of the
-        expected time, and one at the least to learn by. Guards against queues too long for any answer to come in time, whatever fills
-        them (a burst, a slow build, a neighbour), and leaves a silent unit a single trip. It could do harm
-        where answers come in bunches; the one to learn by lets the figure grow again.
+        expected time, and one at the least to learn by. Guards against queues too long for any answer to come
+        in time, whatever fills them (a burst, a slow build, a neighbour), and leaves a silent unit a single
+        trip. It could do harm where answers come in bunches; the one to learn by lets the figure grow again.
         """
         return len(server.out) < max(1.0, 1.5 * server.done.read(now) / (2 * SECOND) * self._target)
 
@@ -592,7 +593,7 @@
         if verdict is not None:
             vote = self._ballot.cast(Vote(news.build, news.stage, verdict), self.now)
             if vote is not None:
-                self.acts.append(vote)
+                self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
