--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -460,7 +460,7 @@
         self._exposure = Exposure(trial, lanes)
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, patience=5 * SECOND, ripe=5 * SECOND)
         self._ballot = Ballot(poll, 5 * SECOND, chance)
-        target = sum(lane.expected_time for lane in lanes) // len(lanes) // 2
+        target = min(lane.expected_time for lane in lanes) // 2
         self._health = Health(duties, target, 2 * self._longest, chance)
         self._waiting: dict[Lookup, None] = {}
         self._journeys: dict[Lookup, Journey] = {}
