--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -260,4 +260,5 @@
             zone_crossing=self.number("prices.crossZone"),
             handshake=self.number("prices.handshake"),
             connection=self.number("prices.connection"),
+            over_share=self.number("overShareWorth", 1.0),
         )
--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -184,6 +184,7 @@
     zone_crossing: float
     handshake: float
     connection: float
+    over_share: float  # what a lookup beyond its member's share is worth, as a part of the usual
 
 
 # What passes through
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -462,7 +462,8 @@
         self._ballot = Ballot(poll, 5 * SECOND, chance)
         target = min(lane.expected_time for lane in lanes) // 2
         self._health = Health(duties, target, 2 * self._longest, chance)
-        self._waiting: dict[Lookup, None] = {}
+        self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
+        self._callers = {member: Fading(4 * SECOND) for member in members}
         self._journeys: dict[Lookup, Journey] = {}
         self._resume: dict[Lookup, Ticks] = {}
         self._rate = Fading(4 * SECOND)
@@ -497,6 +498,8 @@
 
     def take(self, lookup: Lookup) -> None:
         self._rate.add(self.now, 1)
+        if lookup.member in self._callers:
+            self._callers[lookup.member].add(self.now, 1)
         self._exposure.take(lookup, self._on_trial(), self.now)
         self._journeys[lookup] = journey = self._journey(lookup)
         self._advance(lookup, journey, None, start=True)
@@ -678,14 +681,16 @@
         lane = lookup.lane
         copy_at = lookup.taken + lane.expected_time // 2
         give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 4)
+        worth = self._worth(lookup)
         while True:
-            server = self._choose(lookup)
+            outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
+            server = None if outranked else self._choose(lookup)
             if server is not None:
                 yield server
             elif not self._roster.ready or self.now >= give_up or not self._may_open(lookup):
                 break
             else:
-                self._waiting[lookup] = None
+                self._waiting[lookup] = worth
                 yield give_up
                 continue
             while any(trip.fate is None for trip in lookup.trips):
@@ -708,11 +713,27 @@
         """Second copies stay a small part of the traffic: a slow fleet is not loaded further."""
         return self._copies.read(self.now) < 0.1 * self._rate.read(self.now)
 
+    def _worth(self, lookup: Lookup) -> float:
+        """Value for the time a lookup takes; a member's lookups beyond its share count little.
+
+        A share is told for all relays together. Here it is held against what the other members send through
+        this relay, so that a member that floods the fleet is the first to wait and to be shed.
+        """
+        worth = lookup.lane.value / lookup.lane.expected_time
+        member = lookup.member
+        if member not in self._callers:
+            return worth
+        own = self._callers[member].read(self.now)
+        others = sum(rate.read(self.now) for rate in self._callers.values()) - own
+        quota = sum(other.quota for other in self._callers) - member.quota
+        fair = 1.5 * member.quota / quota * others if quota > 0 else own
+        over = others > 1 and self._chance.random() * own > fair
+        return worth * self._tariff.over_share if over else worth
+
     def _relieve(self) -> None:
         """Room has come up: the waiting lookups that are worth most for their time go first."""
         if self._waiting:
-            worth = {lookup: lookup.lane.value / lookup.lane.expected_time for lookup in self._waiting}
-            for lookup in sorted(worth, key=lambda waiting: -worth[waiting])[:3]:
+            for lookup in sorted(self._waiting, key=lambda waiting: -self._waiting[waiting])[:3]:
                 self._advance(lookup, self._journeys[lookup], None)
 
     def _advance(self, lookup: Lookup, journey: Journey, trip: Trip | None, start: bool = False) -> None:
