--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -52,7 +52,7 @@
 class Server(Unit):
     """A unit as this relay knows it: what the roster says, and what its own trips have shown."""
 
-    __slots__ = ("aside", "cold_sends", "done", "listed", "open", "out", "pace", "strikes", "trips")
+    __slots__ = ("aside", "cold_sends", "done", "listed", "out", "pace", "strikes", "trips")
 
     def __init__(self, mark: int, span: Ticks) -> None:
         super().__init__(mark)
@@ -62,7 +62,6 @@
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
         self.done = Fading(2 * SECOND)
         self.cold_sends: deque[Ticks] = deque()
-        self.open: dict[Lane, Window] = {}
 
 
 def mine(unit: Unit) -> Server:
@@ -85,7 +84,6 @@
             server = mine(told.unit)
             if server not in self.known or (server.build, server.since) != (told.build, told.since):
                 server.listed = now if coverage is not Coverage.CACHED else told.since
-                server.open.clear()
                 server.aside = 0
             server.zone, server.cell, server.kind = told.zone, told.cell, told.kind
             server.since, server.build, server.size = told.since, told.build, told.size
@@ -212,6 +210,28 @@
     return (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2 / max(1, len(ordered))
 
 
+def z_score(faults: int, outcomes: int, mean: float) -> float:
+    """The source's deviation is that of the earlier windows; ours hold too few outcomes each for that, so it
+    is the one that a window as full as this would have, and never less than one outcome's share."""
+    deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
+    return (faults / outcomes - mean) / deviation
+
+
+def tally(windows: Iterable[Window], fault: Fault) -> dict[Server, tuple[int, int]]:
+    """Faults of one kind, and outcomes, by server."""
+    counts: dict[Server, tuple[int, int]] = {}
+    for w in windows:
+        faults, many = counts.get(w.server, (0, 0))
+        counts[w.server] = faults + w.faults.get(fault, 0), many + w.outcomes
+    return counts
+
+
+def best(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
+    """The sums over those servers that show the smallest shares."""
+    kept = sorted(counts.values(), key=lambda count: count[0] / count[1])[:keep]
+    return sum(faults for faults, _ in kept), sum(many for _, many in kept)
+
+
 FAULTS = {Fate.TURNED_AWAY: Fault.SHUT, Fate.UNREACHABLE: Fault.SHUT, Fate.CUT: Fault.SHUT}
 FAULTS[Fate.ERROR] = Fault.BROKEN
 HARD = (Fault.BROKEN, Fault.WRONG)
@@ -219,149 +239,122 @@
 
 @dataclass(slots=True, eq=False)
 class Window:
-    """The outcomes of one lane at one server, from a whole second on until there are enough to judge."""
+    """The outcomes of one lane at one server in a second, or in a few of them that are judged together."""
 
     server: Server
     lane: Lane
+    build: int
     start: Ticks
     outcomes: int = 0
     faults: dict[Fault, int] = field(default_factory=dict)
 
-    def share(self, fault: Fault) -> float:
-        return self.faults.get(fault, 0) / self.outcomes
+    def add(self, outcomes: int, faults: dict[Fault, int]) -> None:
+        self.outcomes += outcomes
+        for fault, many in faults.items():
+            self.faults[fault] = self.faults.get(fault, 0) + many
 
 
 class Scoring:
     """The source's score: z against the earlier build x decay x percentile x weight, summed a server."""
 
-    def __init__(self, back_window: Ticks, scale: Ticks, fill: int, patience: Ticks, ripe: Ticks) -> None:
-        self._span, self._scale, self._fill = back_window, scale, fill
-        self._patience, self._ripe = patience, ripe
+    def __init__(self, span: Ticks, scale: Ticks, fill: int, ripe: Ticks) -> None:
+        self._span, self._scale, self._fill, self._ripe = span, scale, fill, ripe
         self._windows: deque[Window] = deque()
-        self._open: dict[Window, None] = {}
-        self._marks: deque[tuple[Ticks, Server, float, Fault]] = deque()
-        self._stage_start: Ticks = 0
-
-    def stage(self, start: Ticks) -> None:
-        self._stage_start = start
-
-    def record(
-        self, server: Server, lane: Lane, faults: dict[Fault, int], now: Ticks, outcomes: int = 1
-    ) -> None:
-        window = server.open.get(lane)
-        if window is None:
-            window = server.open[lane] = Window(server, lane, now - now % SECOND)
-            self._open[window] = None
-        window.outcomes += outcomes
-        for fault, many in faults.items():
-            window.faults[fault] = window.faults.get(fault, 0) + many
-
-    def close(self, trial: int, now: Ticks) -> None:
-        """Closes the windows that are full or old enough, and scores them; call it once a second."""
-        closed = []
-        for window in list(self._open):
-            hard = sum(window.faults.get(fault, 0) for fault in HARD)
-            if window.outcomes >= self._fill or now - window.start >= self._patience or hard > 2:
-                del self._open[window]
-                if window.server.open.get(window.lane) is window:
-                    del window.server.open[window.lane]
-                    if window.outcomes:
-                        closed.append(window)
-        self._windows.extend(closed)
-        while self._windows and self._windows[0].start < min(self._stage_start, now) - 2 * self._span:
-            self._windows.popleft()
-        for window in closed:
-            for fault in window.faults:
-                # Coldness makes a server slow, but never wrong: only slowness has to wait until it is ripe.
-                if fault in HARD or window.start - window.server.listed >= self._ripe:
-                    self._judge(window, fault, trial, now)
-        while self._marks and self._marks[0][0] < now - self._span:
-            self._marks.popleft()
-
-    def _judge(self, window: Window, fault: Fault, trial: int, now: Ticks) -> None:
-        like = [other for other in self._windows if other.lane is window.lane]
-        earlier = [other for other in like if other.server.build < trial]
-        floor = 2 * self._span
-        before = [w for w in earlier if self._stage_start - floor <= w.start < self._stage_start]
-        base = before or [w for w in earlier if w.start >= now - floor]
-        if not base:
-            return
-        z = self._z(window.faults.get(fault, 0), window.outcomes, fault, base)
-        if z <= 2:
-            return
-        gap = max(0, now - (window.server.since if window.server.build >= trial else self._stage_start))
-        shares = [w.share(fault) for w in like if w.start >= now - floor]
-        score = z * self._decay(gap) * percentile(window.share(fault), shares) * fault.value
-        self._marks.append((now, window.server, score, fault))
-
-    def _decay(self, gap: Ticks) -> float:
-        return 1 / (max(0, gap) / self._scale + 1)
-
-    def _z(self, faults: int, outcomes: int, fault: Fault, base: Sequence[Window]) -> float:
-        mean = sum(w.faults.get(fault, 0) for w in base) / sum(w.outcomes for w in base)
-        # The source's deviation is that of the earlier windows; ours hold too few outcomes each for that, so
-        # it is the one that a window as full as this would have, and never less than one outcome's share.
-        deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
-        return (faults / outcomes - mean) / deviation
+        self._open: dict[tuple[Server, Lane], Window] = {}
+        self.stage_start: Ticks = 0
+
+    def record(self, server: Server, lane: Lane, faults: dict[Fault, int], now: Ticks, outcomes: int) -> None:
+        window, second = self._open.get((server, lane)), now - now % SECOND
+        if window is None or (window.start, window.build) != (second, server.build):
+            window = self._open[server, lane] = Window(server, lane, server.build, second)
+            self._windows.append(window)
+            while self._windows[0].start < min(self.stage_start, now) - 2 * self._span:
+                self._windows.popleft()
+        if now - server.listed < self._ripe:
+            # Coldness makes a server slow, but never wrong: only slowness goes unscored until it is ripe.
+            faults = {fault: many for fault, many in faults.items() if fault in HARD}
+        window.add(outcomes, faults)
+
+    def _base(self, trial: int, now: Ticks) -> list[Window]:
+        """The earlier build's last windows before the stage; if there are none, its current ones."""
+        earlier, reach = [w for w in self._windows if w.build < trial], 2 * self._span
+        before = [w for w in earlier if self.stage_start - reach <= w.start < self.stage_start]
+        return before or [w for w in earlier if w.start >= now - reach]
+
+    def _score(
+        self, faults: int, outcomes: int, fault: Fault, base: Sequence[Window], gap: Ticks, among: Sequence[float]
+    ) -> float:
+        many = sum(w.outcomes for w in base)
+        if not many or not outcomes:
+            return 0.0
+        z = z_score(faults, outcomes, sum(w.faults.get(fault, 0) for w in base) / many)
+        decay = 1 / (max(0, gap) / self._scale + 1)
+        return z * decay * percentile(faults / outcomes, among) * fault.value if z > 2 else 0.0
+
+    def read(self, servers: Sequence[Server], trial: int, now: Ticks, span: Ticks = 0) -> tuple[float, float]:
+        """The margin of the trial servers' mean score over the earlier ones', and that mean itself."""
+        base, judged = self._base(trial, now), dict.fromkeys(servers, 0.0)
+        blocks: dict[tuple[Server, Lane], list[Window]] = {}
+        for w in reversed(self._windows):
+            if w.start < now - (span or self._span):
+                break
+            if w.server in judged and w.build == w.server.build:
+                # Few seconds hold enough outcomes to judge: a thin one is judged with those before it.
+                mine = blocks.setdefault((w.server, w.lane), [])
+                if not mine or mine[-1].outcomes >= self._fill:
+                    mine.append(Window(w.server, w.lane, w.build, w.start))
+                mine[-1].add(w.outcomes, w.faults)
+        every = [block for mine in blocks.values() for block in mine if block.outcomes]
+        for block in every:
+            like = [other for other in every if other.lane is block.lane]
+            of_lane = [w for w in base if w.lane is block.lane]
+            gap = now - (block.server.since if block.build >= trial else self.stage_start)
+            for fault, many in block.faults.items():
+                among = [other.faults.get(fault, 0) / other.outcomes for other in like]
+                judged[block.server] += self._score(many, block.outcomes, fault, of_lane, gap, among)
+        new = [score for server, score in judged.items() if server.build == trial]
+        old = [score for server, score in judged.items() if server.build < trial]
+        if not new:
+            return 0.0, 0.0
+        # Guards against a trouble of one machine (fast errors, a neighbour) that would carry the mean alone:
+        # no server counts for more than twice the margin, so half of the trial servers have to show the
+        # fault. It could do harm with a build that fails on a few machines only; there 'on' still waits.
+        mean = sum(min(score, 6.0) for score in new) / len(new)
+        margin = mean - (sum(old) / len(old) if old else 0.0)
+        return margin + self._whole(every, base, trial, now), mean
 
-    def _pooled(self, servers: Sequence[Server], trial: int, now: Ticks) -> float:
-        """The same score for a whole build over the last 5 s: trial servers' less the earlier ones'.
+    def _whole(self, blocks: Sequence[Window], base: Sequence[Window], trial: int, now: Ticks) -> float:
+        """The same score for the trial build as a whole, less that of the earlier one.
 
         Guards against a fault spread so thinly over many servers that no window of one server shows it. The
         worst quarter of the servers is left out, so that a trouble of a few machines does not pass for one.
         """
-        earlier = [w for w in self._windows if w.server.build < trial]
-        floor = 2 * self._span
-        before = [w for w in earlier if self._stage_start - floor <= w.start < self._stage_start]
-        base = before or [w for w in earlier if w.start >= now - floor]
-        lately = [w for w in [*self._windows, *self._open] if w.start >= now - self._span and w.outcomes]
-        total = 0.0
-        for fault in Fault if base else ():
-            counts = {server: [0, 0, server.since] for server in servers}
-            for w in lately:
-                if w.server in counts and (fault in HARD or w.start - w.server.listed >= self._ripe):
-                    counts[w.server][0] += w.faults.get(fault, 0)
-                    counts[w.server][1] += w.outcomes
-            shares = [faults / many for faults, many, _ in counts.values() if many]
+        total, some_old = 0.0, any(block.build < trial for block in blocks)
+        for fault in Fault:
+            if not some_old and fault not in HARD:
+                continue  # with no earlier server left to compare with, slowness may be the load's doing
+            counts = tally(blocks, fault)
+            shares = [faults / many for faults, many in counts.values()]
             for sign, new in ((1, True), (-1, False)):
-                side = [counts[s] for s in servers if (s.build == trial) is new and counts[s][1]]
-                side.sort(key=lambda count: -count[0] / count[1])
-                side = side[len(side) // 4 + (len(side) > 1) :]
-                faults, many = sum(count[0] for count in side), sum(count[1] for count in side)
-                z = self._z(faults, many, fault, base) if many else 0.0
-                if z > 2:
-                    rank = percentile(faults / many, shares)
-                    gap = now - (sum(count[2] for count in side) // len(side) if new else self._stage_start)
-                    total += sign * z * self._decay(gap) * rank * fault.value
+                side = {server: count for server, count in counts.items() if (server.build == trial) is new}
+                faults, many = best(side, len(side) - len(side) // 4 - (len(side) > 1))
+                starts = [server.since if new else self.stage_start for server in side] or [now]
+                gap = now - sum(starts) // len(starts)
+                total += sign * self._score(faults, many, fault, base, gap, shares)
         return total
 
-    def margin(self, servers: Iterable[Server], trial: int, now: Ticks, span: Ticks | None = None) -> float:
-        """How far the trial servers' mean score exceeds the earlier build's over the last few seconds."""
-        new = {server: 0.0 for server in servers if server.build == trial}
-        old = {server: 0.0 for server in servers if server.build < trial}
-        for at, server, score, fault in self._marks:
-            if at < now - (span or self._span):
-                continue
-            if server in new:
-                # With no earlier server left to compare with, slowness is as likely the load's doing.
-                new[server] += score if old or fault in HARD else 0.0
-            elif server in old:
-                old[server] += score
-        if not new:
-            return 0.0
-        # Guards against a trouble of one machine (fast errors, a neighbour) that would carry the mean alone:
-        # no server counts for more than twice the margin, so half of the trial servers have to show the
-        # fault. It could do harm with a build that fails on a few machines only; there 'on' still waits.
-        new = {server: min(score, 6.0) for server, score in new.items()}
-        pooled = self._pooled([*new, *old], trial, now)
-        return sum(new.values()) / len(new) - (sum(old.values()) / len(old) if old else 0.0) + pooled
+    def slowness(self, servers: Sequence[Server], now: Ticks) -> tuple[int, int]:
+        """Slow answers and outcomes lately, at the better half of the servers, whatever their build."""
+        lately = [w for w in self._windows if w.start >= now - self._span and w.outcomes and w.server in servers]
+        counts = tally(lately, Fault.SLOW)
+        return best(counts, (len(counts) + 1) // 2)
 
 
 class Ballot:
     """This relay's one vote: when to cast it, and when to cast it again."""
 
-    def __init__(self, poll: Poll, wait: Ticks, chance: Random) -> None:
-        self._poll, self._wait, self._chance = poll, wait, chance
+    def __init__(self, poll: Poll, chance: Random) -> None:
+        self._poll, self._chance = poll, chance
         self._cast: Vote | None = None
         self._lapses: Ticks = 0  # when the vote that stands has to be cast again
         self._quiet: Ticks = 0  # no vote before then: one is on its way, or the platform had too many
@@ -376,18 +369,19 @@
         self._cast = None
         self._quiet = now + int(self._poll.answer_limit * self._chance.uniform(0.1, 0.5))
 
-    def cast(self, vote: Vote, now: Ticks) -> Vote | None:
-        if now < self._quiet or (vote == self._cast and now < self._lapses):
-            return None
-        self._cast = vote
-        self._lapses = now + self._poll.vote_life * 3 // 4
+    def cast(self, vote: Vote, now: Ticks) -> bool:
+        """True when the vote is due: a new one, or one that would lapse. A way back waits for nothing."""
+        fresh = vote != self._cast
+        if (not fresh and now < self._lapses) or (now < self._quiet and vote.verdict is not Verdict.BACK):
+            return False
+        if not fresh and now < self._quiet:
+            return False
+        self._cast, self._lapses = vote, now + self._poll.vote_life * 3 // 4
         self._quiet = now + self._poll.answer_limit + SECOND
-        return vote
+        return True
 
-    def verdict(
-        self, news: News, newest: Ticks, complete: bool, margin: float, lately: float, now: Ticks
-    ) -> Verdict | None:
-        """`margin` is over the last 5 s, `lately` over the last 3 s; `newest` is the stage's newest start."""
+    def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
+        """`margin` is over the last 5 s, `lately` the score over the last 3 s; `ripe` says that 'on' may come."""
         if news.phase not in (Phase.TRIAL, Phase.RELEASED):
             return None
         if margin > 3:
@@ -396,9 +390,9 @@
             return None
         if self._poll.control is Control.AUTOMATIC:
             return Verdict.HOLD if lately > 3 else Verdict.NONE if self._cast else None
-        # Machines that are listed late would start the stage's clock later than the listed ones tell.
-        ripe = now - newest >= self._wait and (complete or news.age >= 3 * self._wait)
-        return Verdict.ON if ripe and margin <= 1 else None
+        if not ripe or margin > 1:
+            return None
+        return Verdict.BACK if creep else Verdict.ON
 
 
 class Health:
@@ -458,8 +452,8 @@
         self._longest = max(lane.expected_time for lane in lanes)
         self._roster = Roster()
         self._exposure = Exposure(trial, lanes)
-        self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, patience=5 * SECOND, ripe=5 * SECOND)
-        self._ballot = Ballot(poll, 5 * SECOND, chance)
+        self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
+        self._ballot = Ballot(poll, chance)
         target = min(lane.expected_time for lane in lanes) // 2
         self._health = Health(duties, target, 2 * self._longest, chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
@@ -468,8 +462,10 @@
         self._resume: dict[Lookup, Ticks] = {}
         self._rate = Fading(4 * SECOND)
         self._copies = Fading(4 * SECOND)
+        self._usual = 0.0
         self._stage: tuple[int, int] | None = None
         self._margin = 0.0
+        self._calm: tuple[tuple[int, int], float] | None = None  # slowness and traffic before the build came
         self._tallied: dict[int, Server] = {}
         self._untold: dict[tuple[Server, Lane], list[int]] = {}
         self.acts.append(Wake(now + SECOND // 2, None))
@@ -494,7 +490,9 @@
         self._exposure.hear(news)
         if (news.build, news.stage) != self._stage:
             self._stage = (news.build, news.stage)
-            self._scoring.stage(self.now - news.age)
+            self._scoring.stage_start = self.now - news.age
+            if news.stage == 0:
+                self._calm = self._scoring.slowness(self._roster.ready, self.now), self._rate.read(self.now)
 
     def take(self, lookup: Lookup) -> None:
         self._rate.add(self.now, 1)
@@ -562,10 +560,10 @@
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None:
         self._witness(mine(unit), lane, Fault.WRONG, 0)
 
-    def tally(self, tally: Tally) -> None:
-        source = self._tallied.setdefault(tally.build, Server(0, self._longest))
-        source.build = tally.build
-        self._scoring.record(source, tally.lane, {Fault.BROKEN: tally.lost}, self.now, tally.trips)
+    def tally(self, counted: Tally) -> None:
+        source = self._tallied.setdefault(counted.build, Server(0, self._longest))
+        source.build = counted.build
+        self._scoring.record(source, counted.lane, {Fault.BROKEN: counted.lost}, self.now, counted.trips)
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         pass
@@ -577,27 +575,45 @@
     def _tick(self) -> None:
         self.acts.append(Wake(self.now + SECOND // 2, None))
         self._tell()
+        self._learn_usual()
         news = self._exposure.news
         if news is None:
             return
         judged = [*self._roster.ready, *self._tallied.values()]
-        self._scoring.close(news.build, self.now)
-        self._margin = self._scoring.margin(judged, news.build, self.now)
-        lately = self._scoring.margin(judged, news.build, self.now, 3 * SECOND)
+        self._margin, _ = self._scoring.read(judged, news.build, self.now)
+        _, lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)
         new = [server for server in self._roster.ready if server.build == news.build]
-        old = [server for server in self._roster.ready if server.build < news.build]
         if not new:
             return
-        places = int(self._trial.shares[min(news.stage, len(self._trial.shares) - 1)] * len(old) + 0.5)
+        # Machines that are listed late would start the stage's clock later than the listed ones tell, and
+        # while most of them are set aside nothing is learnt of the build.
+        wait, old = 5 * SECOND, sum(server.build < news.build for server in self._roster.ready)
+        all_here = len(new) >= int(self._trial.shares[min(news.stage, len(self._trial.shares) - 1)] * old + 0.5)
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
-        complete = len(new) >= places and not shut_out
-        newest = max(server.since for server in new)
-        verdict = self._ballot.verdict(news, newest, complete, self._margin, lately, self.now)
+        ripe = self.now - max(server.since for server in new) >= wait and not shut_out
+        ripe = ripe and (all_here or news.age >= 3 * wait)
+        verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news.stage))
         if verdict is not None:
-            vote = self._ballot.cast(Vote(news.build, news.stage, verdict), self.now)
-            if vote is not None:
+            vote = Vote(news.build, news.stage, verdict)
+            if self._ballot.cast(vote, self.now):
                 self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
+    def _creeping(self, stage: int) -> bool:
+        """Has the whole fleet grown slow since the build came, with no more traffic than before?
+
+        Guards against a build that slows all units, old and new alike, in step with its traffic: no comparison
+        with the earlier build shows it. Only the better half of the servers counts, so that a trouble of some
+        machines does not. It could do harm when other relays' traffic grows unseen.
+        """
+        if stage < 1 or self._calm is None or self._calm[0][1] == 0:
+            return False
+        (before, many), rate = self._calm
+        faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
+        if not outcomes or self._rate.read(self.now) > 1.3 * rate:
+            return False
+        worse = faults / outcomes - before / many > self._poll.delay_price / 4
+        return worse and z_score(faults, outcomes, before / many) > 3
+
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
             return
@@ -617,7 +633,7 @@
         """The rules' guards, asked again right before each trip: no choice gets round them."""
         if server.condition is not Condition.READY or not self._repeatable(server, lookup):
             return False
-        room = self._health.cold_room(server, self._usual(), self.now)
+        room = self._health.cold_room(server, self._usual, self.now)
         return room and self._exposure.allows(server.build, lookup, self.now)
 
     def _repeatable(self, server: Server, lookup: Lookup) -> bool:
@@ -638,9 +654,12 @@
                 return False
         return True
 
-    def _usual(self) -> float:
-        warm = sum(self.now - server.since >= self._duties.cold_time for server in self._roster.ready)
-        return self._rate.read(self.now) / 4 / max(1, warm)
+    def _learn_usual(self) -> None:
+        """What a warm unit does for this relay a second. While most units are cold, the last figure holds:
+        the few warm ones would be taken to do the work of all, and the cold ones would be pushed over."""
+        warm = [s for s in self._roster.ready if self.now - s.since >= self._duties.cold_time]
+        if warm and 2 * len(warm) >= len(self._roster.ready):
+            self._usual = sum(server.done.read(self.now) for server in warm) / 2 / len(warm)
 
     def _cost(self, server: Server) -> float:
         """The expected wait at a server, in no unit: it only ranks servers."""
