--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -10,8 +10,8 @@
 from lanelead.benchlink import wire
 from lanelead.benchlink.wire import Malformed, millis
 from lanelead.interface import (
-    BreakOff, CallOff, Close, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase, Probe, Send,
-    Shed, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
+    BreakOff, CallOff, Close, Condition, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase,
+    Probe, Send, Shed, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
 )
 from lanelead.rules import Relay
 
@@ -133,7 +133,9 @@
             self.touched.append(lookup)
 
     def heard(self, words: Words) -> None:
-        self.relay.heard(wire.whole(words[1]), wire.octets(words[2]))
+        units = {(unit.mark, unit.build): unit for unit in self.unit_ids if unit.condition is Condition.READY}
+        sightings = wire.unpack(wire.octets(words[2]), units, [*self.lanes.values()])
+        self.relay.heard(wire.whole(words[1]), sightings)
 
     def bad_answer(self, words: Words) -> None:
         lane = wire.known(self.lanes, words[2])
@@ -209,8 +211,9 @@
                     lines.append(f"SAMPLE {self.unit_ids[unit]}")
                 case Close(unit):
                     lines.append(f"FREE_LINKS {self.unit_ids[unit]}")
-                case Tell(peer, text):
-                    lines.append(f"WRITE_PEER {-1 if peer is None else peer} {text.hex() or '-'}")
+                case Tell(peer, sightings):
+                    for text in wire.pack(sightings, [*self.lanes.values()]):
+                        lines.append(f"WRITE_PEER {-1 if peer is None else peer} {text.hex()}")
                 case Vote(build, stage, verdict):
                     lines.append(f"SAY_SO {build} {verdict.value} {stage}")
                 case Watch(on):
--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -5,11 +5,12 @@
 import math
 import re
 from collections.abc import Callable, Mapping, Sequence
+from struct import Struct
 from typing import TypeVar
 
 from lanelead.interface import (
     Allowance, Condition, Control, Coverage, Duties, Fate, Lane, Member, Place, Poll, Repeat, Report, Scope,
-    Tariff, Ticks, Trial,
+    Sighting, Tariff, Ticks, Trial, Unit,
 )
 
 T = TypeVar("T")
@@ -132,6 +133,34 @@
     return {name: number(value) for name, value in zip(names, values, strict=True)}
 
 
+KINDS = 4  # kinds of fault in a sighting
+ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
+MESSAGE = 256  # the most bytes of one message between relays
+
+
+def pack(sightings: Sequence[Sighting], lanes: Sequence[Lane]) -> list[bytes]:
+    """Sightings as messages of the allowed length."""
+    rows = [
+        ROW.pack(
+            seen.unit.mark, seen.build, lanes.index(seen.lane), min(seen.outcomes, 255),
+            *(min(many, 255) for many in seen.faults),
+        )
+        for seen in sightings
+    ]
+    step = MESSAGE // ROW.size
+    return [b"".join(rows[place : place + step]) for place in range(0, len(rows), step)]
+
+
+def unpack(text: bytes, units: Mapping[tuple[int, int], Unit], lanes: Sequence[Lane]) -> list[Sighting]:
+    """The sightings in a message; rows of units or lanes that this relay does not know are passed over."""
+    rows = ROW.iter_unpack(text[: len(text) // ROW.size * ROW.size])
+    return [
+        Sighting(units[mark, build], lanes[lane], build, outcomes, faults)
+        for mark, build, lane, outcomes, *faults in rows
+        if (mark, build) in units and lane < len(lanes)
+    ]
+
+
 def millis(time: Ticks) -> str:
     return f"{time / 10:.1f}"
 
--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -205,6 +205,10 @@
         self.size = 1.0
         self.condition = Condition.GONE
 
+    def update(self, told: Listing) -> None:
+        self.zone, self.cell, self.kind, self.condition = told.zone, told.cell, told.kind, told.condition
+        self.since, self.build, self.size = told.since, told.build, told.size
+
 
 @dataclass(slots=True, frozen=True)
 class Listing:
@@ -266,6 +270,17 @@
     age: Ticks
 
 
+@dataclass(slots=True)
+class Sighting:
+    """Outcomes at a unit that one relay tells another of, and how many were faults of each kind."""
+
+    unit: Unit
+    lane: Lane
+    build: int
+    outcomes: int
+    faults: list[int]
+
+
 # Acts
 
 
@@ -311,7 +326,7 @@
 @dataclass(slots=True, frozen=True)
 class Tell:
     peer: int | None  # none: all of them
-    text: bytes
+    sightings: Sequence[Sighting]
 
 
 @dataclass(slots=True, frozen=True)
@@ -354,7 +369,7 @@
     def left(self, lookup: Lookup) -> None: ...
     def wake(self, lookup: Lookup | None) -> None: ...
     def news(self, news: News) -> None: ...
-    def heard(self, peer: int, text: bytes) -> None: ...
+    def heard(self, peer: int, sightings: Sequence[Sighting]) -> None: ...
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None: ...
     def tally(self, counted: Tally) -> None: ...
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None: ...
