--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -126,8 +126,9 @@
             while self._seen[oldest := next(iter(self._seen))][1] < now - 2 * self._trial.window:
                 del self._seen[oldest]
 
-    def _stuck(self, lookup: Lookup) -> bool:
-        return lookup.key is not None and lookup.key in self._keys
+    def _tie(self, lookup: Lookup) -> int:
+        """The build that has answered the lookup's key, on trial or since its release: no earlier one may."""
+        return self._keys.get(lookup.key or "", -1)
 
     def _guards(self, build: int, lookup: Lookup) -> bool:
         """True in a stage that takes pure lookups only, for one that is not."""
@@ -136,15 +137,15 @@
 
     def hopeless(self, lookup: Lookup) -> bool:
         """No waiting helps a lookup whose key is tied to a build that does not take its lane yet."""
-        return self.news is not None and self._stuck(lookup) and self._guards(self.news.build, lookup)
+        return self.on_trial(self._tie(lookup)) and self._guards(self._tie(lookup), lookup)
 
     def allows(self, build: int, lookup: Lookup, now: Ticks) -> bool:
-        if not self.on_trial(build):
-            return not self._stuck(lookup) or build >= self._keys[lookup.key or ""]
+        if not self.on_trial(build) or build < self._tie(lookup):
+            return build >= self._tie(lookup)
         cap, need = self._cap(build), 1.0
         if cap <= 0 or self._guards(build, lookup):
             return False
-        if self._trial.keys_stay and lookup.key is not None and not self._stuck(lookup):
+        if self._trial.keys_stay and lookup.key is not None and build != self._tie(lookup):
             # A key that has been here once is tied to the new build. Popular keys would soon use up the cap,
             # and leave nothing for lookups that may go nowhere else: they come last, as the cap grows.
             need, rare = 2.0, 2 * self._trial.window * (1 - cap)
@@ -157,7 +158,7 @@
             self._ledger(build, lookup.lane).spend(now)
 
     def done(self, build: int, lookup: Lookup) -> None:
-        if self._trial.keys_stay and lookup.key is not None and self.on_trial(build):
+        if self._trial.keys_stay and lookup.key and (self.news is None or build >= self.news.build):
             self._keys[lookup.key] = max(build, self._keys.get(lookup.key, 0))
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -128,6 +128,16 @@
         builds = [act.trip.unit.build for act in host.acts if isinstance(act, Send)]
         self.assertNotIn(1, builds[builds.index(2) :])
 
+    def test_a_key_answered_since_the_release_goes_to_no_earlier_unit_that_comes_back(self) -> None:
+        # Incident i241f08: earlier units came back after a release, and took keys that the new build had.
+        host = FakeHost(units=0, keys_stay=True)
+        new = host.listed(2)
+        host.news(2, 2, Phase.RELEASED, 1.0)
+        host.end(host.sent(host.ask(PURE, key="k"))[0])
+        host.listed(2, unit=new, condition=Condition.DRAINING)
+        host.listed(1)
+        self.assertEqual(host.sent(host.ask(PURE, key="k")), [])
+
 
 class Voting(unittest.TestCase):
     def test_on_comes_5_s_after_the_newest_start_and_is_cast_again_when_lost(self) -> None:
