--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -391,11 +391,11 @@
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, times[0] // 2, 2 * times[-1], chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
-        self._callers = {member: Fading(4 * SECOND) for member in members}
+        self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._rate, self._copies = Fading(4 * SECOND), Fading(4 * SECOND)
         self._usual, self._margin, self._stage = 0.0, 0.0, (-1, 0)
-        self._calm = (0, 0), 0.0  # slow answers, outcomes and traffic before the build came
+        self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
         self.acts += [Wake(now + SECOND // 2, None), *([Watch(True)] if duties.subscribe else [])]
 
@@ -415,13 +415,14 @@
         self._exposure.hear(news)
         if (news.build, news.stage) != self._stage:
             self._stage, self._scoring.stage_start = (news.build, news.stage), self.now - news.age
+            faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
             if news.stage == 0:
-                self._calm = self._scoring.slowness(self._roster.ready, self.now), self._rate.read(self.now)
+                self._calm, self._calm_rate = [], self._rate.read(self.now)
+            self._calm += [faults / outcomes] if outcomes and len(self._calm) == news.stage else []
 
     def take(self, lookup: Lookup) -> None:
         self._rate.add(self.now, 1)
-        if lookup.member in self._callers:
-            self._callers[lookup.member].add(self.now, 1)
+        self._callers[lookup.member].add(self.now, 1)
         self._exposure.take(lookup, self._roster.builds, self.now)
         self._journeys[lookup] = self._journey(lookup)
         self._advance(lookup, None)
@@ -498,16 +499,17 @@
             self.acts += [vote, Note(f"{vote.verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _creeping(self, stage: int) -> bool:
-        """Has the whole fleet grown slow since the build came, with no more traffic than before? Guards
+        """Has the whole fleet grown slow stage by stage, with no more traffic than before the build? Guards
         against a build that slows all units in step with its traffic, which no comparison with the earlier
-        one shows. Only the better half of the servers counts, so that a trouble of some machines does not.
+        one shows. Only the better half of the servers counts, so that a trouble of some machines does not;
+        and a hundred outcomes, or a relay of little traffic would send back what the others see to be good.
         It could do harm when other relays' traffic grows unseen."""
-        (before, many), rate = self._calm
         faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
-        if stage < 1 or not many or not outcomes or self._rate.read(self.now) > 1.3 * rate:
+        if stage < 2 or len(self._calm) <= stage or self._rate.read(self.now) > 1.3 * self._calm_rate:
             return False
-        worse = faults / outcomes - before / many > self._poll.delay_price / 4
-        return worse and z_score(faults, outcomes, before / many) > 3
+        before, last = self._calm[0], self._calm[-1]
+        worse = before + max(self._poll.delay_price / 4, 1.5 * (last - before))
+        return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
@@ -581,9 +583,10 @@
         while True:
             outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
             server = None if outranked else self._choose(lookup)
+            able = any(self._repeatable(other, lookup) for other in self._roster.ready)
             if server is not None:
                 yield server
-            elif self.now < give_up and self._may_wait(lookup):
+            elif able and self.now < give_up and not self._exposure.hopeless(lookup):
                 self._waiting[lookup] = worth
                 yield give_up
             else:
@@ -598,18 +601,13 @@
                     yield second
         self._give_up(lookup)
 
-    def _may_wait(self, lookup: Lookup) -> bool:
-        """Could room come up for it? What no server may be sent again is answered at once."""
-        able = any(self._repeatable(server, lookup) for server in self._roster.ready)
-        return able and not self._exposure.hopeless(lookup)
-
     def _worth(self, lookup: Lookup) -> float:
         """Value for the time it takes. Guards against a member that floods the fleet: what exceeds its share,
         held against what the others send through this relay, is the first to wait and to be shed."""
         worth, member = lookup.lane.value / lookup.lane.expected_time, lookup.member
-        if member not in self._callers:
+        if member is None:
             return worth
-        own, quota = self._callers[member].read(self.now), sum(other.quota for other in self._callers)
+        own, quota = self._callers[member].read(self.now), sum(some.quota for some in self._callers if some)
         others = sum(rate.read(self.now) for rate in self._callers.values()) - own
         fair = 1.5 * member.quota / max(0.1, quota - member.quota) * others
         over = others > 1 and self._chance.random() * own > fair
