--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -359,7 +359,7 @@
         """May a unit hold one more trip? As many as it lately did in three quarters of the expected time, and
         one to learn by. Guards against queues too long for any answer to come in time, whatever fills them (a
         burst, a slow build, a neighbour, silence). It could do harm where answers come in bunches."""
-        return len(server.out) < max(1.0, 1.5 * server.done.read(now) / (2 * SECOND) * self._target)
+        return len(server.out) < max(1.0, 1.2 * server.done.read(now) / (2 * SECOND) * self._target)
 
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
         """May a cold unit take one more? `usual`: what a warm one does for this relay a second. If each relay
@@ -578,7 +578,7 @@
         """One lookup, from its taking to its final answer."""
         lane = lookup.lane
         copy_at = lookup.taken + lane.expected_time // 2
-        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 4)
+        give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 6)
         worth = self._worth(lookup)
         while True:
             outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
