--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -329,15 +329,13 @@
 
     def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
         """`margin` is over the last 5 s, `lately` the score over the last 3 s; `ripe`: 'on' may come."""
-        if margin > 3 and news.phase in (Phase.TRIAL, Phase.RELEASED):
+        if news.phase in (Phase.TRIAL, Phase.RELEASED) and (margin > 3 or (creep and ripe)):
             return Verdict.BACK
         if news.phase is not Phase.TRIAL:
             return None
         if self._poll.control is Control.AUTOMATIC:
             return Verdict.HOLD if lately > 3 else Verdict.NONE if self._cast else None
-        if not ripe or margin > 1:
-            return None
-        return Verdict.BACK if creep else Verdict.ON
+        return Verdict.ON if ripe and margin <= 1 else None
 
 
 class Health:
@@ -393,7 +391,7 @@
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
-        self._rate, self._copies = Fading(4 * SECOND), Fading(4 * SECOND)
+        self._rate, self._copies, self._shed = (Fading(4 * SECOND) for _ in range(3))
         self._usual, self._margin, self._stage = 0.0, 0.0, (-1, 0)
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
@@ -415,7 +413,7 @@
         self._exposure.hear(news)
         if (news.build, news.stage) != self._stage:
             self._stage, self._scoring.stage_start = (news.build, news.stage), self.now - news.age
-            faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
+            faults, outcomes = self._slowness()
             if news.stage == 0:
                 self._calm, self._calm_rate = [], self._rate.read(self.now)
             self._calm += [faults / outcomes] if outcomes and len(self._calm) == news.stage else []
@@ -493,22 +491,30 @@
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
         settled = self.now - max(server.since for server in new) >= wait
         ripe = settled and not shut_out and (all_here or news.age >= 3 * wait)
-        verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news.stage))
+        verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
         vote = Vote(news.build, news.stage, verdict) if verdict else None
         if vote and self._ballot.cast(vote, self.now):
             self.acts += [vote, Note(f"{vote.verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
-    def _creeping(self, stage: int) -> bool:
-        """Has the whole fleet grown slow stage by stage, with no more traffic than before the build? Guards
-        against a build that slows all units in step with its traffic, which no comparison with the earlier
-        one shows. Only the better half of the servers counts, so that a trouble of some machines does not;
-        and a hundred outcomes, or a relay of little traffic would send back what the others see to be good.
-        It could do harm when other relays' traffic grows unseen."""
+    def _slowness(self) -> tuple[int, int]:
+        """Slow answers and outcomes lately; what is shed for want of room would have been slow."""
+        shed = int(self._shed.read(self.now))
         faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
-        if stage < 2 or len(self._calm) <= stage or self._rate.read(self.now) > 1.3 * self._calm_rate:
+        return faults + shed, outcomes + shed
+
+    def _creeping(self, news: News) -> bool:
+        """Has the whole fleet grown slow stage by stage, or far slower since the release, with no more
+        traffic than before the build? Guards against a build that slows all units in step with its traffic,
+        which no comparison with the earlier one shows. Only the better half of the servers counts, so that a
+        trouble of some machines does not; and a hundred outcomes, or a relay of little traffic would send
+        back what the others see to be good. It could do harm when other relays' traffic grows unseen."""
+        faults, outcomes = self._slowness()
+        traffic = self._rate.read(self.now) - self._shed.read(self.now)
+        if news.stage < 2 or len(self._calm) <= news.stage or traffic > 1.3 * self._calm_rate:
             return False
         before, last = self._calm[0], self._calm[-1]
-        worse = before + max(self._poll.delay_price / 4, 1.5 * (last - before))
+        bound = self._poll.delay_price / (1 if news.phase is Phase.RELEASED else 4)
+        worse = before + max(bound, 1.5 * (last - before))
         return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
@@ -648,6 +654,7 @@
         advice = min(self._longest // 2, self._allowance.retry_advice * self._allowance.longest_advice)
         shed = all(trip.fate in NEVER_RAN for trip in lookup.trips)
         self.acts.append(Shed(lookup, advice) if shed else BreakOff(lookup))
+        self._shed.add(self.now, shed)
         self.left(lookup)
 
     def left(self, lookup: Lookup) -> None:
