--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -255,8 +255,8 @@
 
     def trial(self) -> Trial:
         return Trial(
-            shares=self.numbers("familyInfo.shares"),
-            caps=self.numbers("familyInfo.mostShares"),
+            shares=self.numbers("familyInfo.shares") or (1.0,),
+            caps=self.numbers("familyInfo.mostShares") or (1.0,),
             free=self.number("familyInfo.uncounted"),
             window=self.ticks("familyInfo.countedOverMs"),
             by_lane=self.word("familyInfo.capScope") == "each_class",
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -177,7 +177,6 @@
 
 
 def tally(windows: Iterable[Window], fault: Fault) -> dict[Server, tuple[int, int]]:
-    """Faults of one kind, and outcomes, by server."""
     counts: dict[Server, tuple[int, int]] = {}
     for w in windows:
         faults, many = counts.get(w.server, (0, 0))
@@ -186,7 +185,6 @@
 
 
 def best(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
-    """The sums over those servers that show the smallest shares."""
     kept = sorted(counts.values(), key=lambda count: count[0] / count[1])[:keep]
     return sum(faults for faults, _ in kept), sum(many for _, many in kept)
 
@@ -256,7 +254,6 @@
             if w.start < now - (span or self._span):
                 break
             if w.server in judged and w.build == w.server.build:
-                # Few seconds hold enough outcomes to judge: a thin one is judged with those before it.
                 mine = blocks.setdefault((w.server, w.lane), [])
                 if not mine or mine[-1].outcomes >= self._fill:
                     mine.append(Window(w.server, w.lane, w.build, w.start))
@@ -328,7 +325,6 @@
         return True
 
     def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
-        """`margin` is over the last 5 s, `lately` the score over the last 3 s; `ripe`: 'on' may come."""
         if news.phase in (Phase.TRIAL, Phase.RELEASED) and (margin > 3 or (creep and ripe)):
             return Verdict.BACK
         if news.phase is not Phase.TRIAL:
@@ -365,7 +361,7 @@
         sends, age = server.cold_sends, now - server.since
         while sends and sends[0] <= now - self._fall:
             sends.popleft()
-        rise = self._share + (1 - self._share) * max(0, age) / self._time
+        rise = self._share + (1 - self._share) * max(0, age) / max(1, self._time)
         budget = self._multiple / 2 * rise * usual * self._fall / SECOND
         return age >= self._time or server.since <= 0 or len(sends) < max(1.0, budget)
 
@@ -392,7 +388,7 @@
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._rate, self._copies, self._shed = (Fading(4 * SECOND) for _ in range(3))
-        self._usual, self._margin, self._stage = 0.0, 0.0, (-1, 0)
+        self._usual, self._margin, self._stage, self._told = 0.0, 0.0, (-1, 0), 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
         self.acts += [Wake(now + SECOND // 2, None), *([Watch(True)] if duties.subscribe else [])]
@@ -410,9 +406,10 @@
         self._ballot.hear(news, self.now)
         if news.word is not Fate.DONE:
             return
+        self._told = self.now - news.age
         self._exposure.hear(news)
         if (news.build, news.stage) != self._stage:
-            self._stage, self._scoring.stage_start = (news.build, news.stage), self.now - news.age
+            self._stage, self._scoring.stage_start = (news.build, news.stage), self._told
             faults, outcomes = self._slowness()
             if news.stage == 0:
                 self._calm, self._calm_rate = [], self._rate.read(self.now)
@@ -497,24 +494,22 @@
             self.acts += [vote, Note(f"{vote.verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _slowness(self) -> tuple[int, int]:
-        """Slow answers and outcomes lately; what is shed for want of room would have been slow."""
-        shed = int(self._shed.read(self.now))
+        shed = int(self._shed.read(self.now))  # it found no room: it would have been slow
         faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
         return faults + shed, outcomes + shed
 
     def _creeping(self, news: News) -> bool:
-        """Has the whole fleet grown slow stage by stage, or far slower since the release, with no more
-        traffic than before the build? Guards against a build that slows all units in step with its traffic,
-        which no comparison with the earlier one shows. Only the better half of the servers counts, so that a
-        trouble of some machines does not; and a hundred outcomes, or a relay of little traffic would send
-        back what the others see to be good. It could do harm when other relays' traffic grows unseen."""
+        """Has the whole fleet grown slow stage by stage, or far slower right at the release, with no more
+        traffic than before the build? Guards against a build that slows all units in step with its traffic.
+        Only the better half of the servers counts, so that a trouble of some machines does not, and a hundred
+        outcomes, so that a thin view sends nothing back. It could harm when traffic grows at other relays."""
         faults, outcomes = self._slowness()
-        traffic = self._rate.read(self.now) - self._shed.read(self.now)
-        if news.stage < 2 or len(self._calm) <= news.stage or traffic > 1.3 * self._calm_rate:
+        released, age = news.phase is Phase.RELEASED, self.now - self._told
+        busier = self._rate.read(self.now) - self._shed.read(self.now) > 1.3 * self._calm_rate
+        if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
             return False
         before, last = self._calm[0], self._calm[-1]
-        bound = self._poll.delay_price / (1 if news.phase is Phase.RELEASED else 4)
-        worse = before + max(bound, 1.5 * (last - before))
+        worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (last - before))
         return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
@@ -625,14 +620,13 @@
             self._advance(lookup, None)
 
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
-        journey = self._journeys[lookup]
         for table in (self._resume, self._waiting):
             table.pop(lookup, None)
         try:
-            want = journey.send(trip)
+            want = self._journeys[lookup].send(trip)
             while isinstance(want, Server):
                 self._send(lookup, want)
-                want = next(journey)
+                want = next(self._journeys[lookup])
         except StopIteration:
             return
         if want < lookup.due:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,10 @@
 
 import unittest
 
-from lanelead.interface import BreakOff, Condition, Fate, Lane, Phase, Send, Shed, Verdict
+from lanelead.interface import (
+    BreakOff, Condition, Control, Fate, Lane, News, Phase, Send, Shed, Sighting, Verdict,
+)
+from lanelead.rules import Fault, Scoring, Window, mine, z_score
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 
@@ -152,6 +155,112 @@
         host.run(2 * SECOND)
         self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.ON] * 2)
 
+    def trial(self, faults: dict[int, int], servers: int = 4, wait: int = 2) -> list[Verdict]:
+        """Plays a trial in which servers fail as many of ten trips as told, and returns the votes."""
+        host = FakeHost(now=20 * SECOND)
+        lane = PURE
+        for unit in host.units:
+            host.relay._scoring.record(mine(unit), lane, {}, host.relay.now, 10)
+        host.run(SECOND)
+        host.news(2, 1, Phase.TRIAL, 0.5)
+        new = [host.listed(2, since=host.relay.now) for _ in range(servers)]
+        host.run(wait * SECOND)
+        for place, unit in enumerate(new):
+            broken = {Fault.BROKEN: faults.get(place, 0)}
+            host.relay._scoring.record(mine(unit), lane, broken, host.relay.now, 10)
+        host.run(6 * SECOND)
+        return [vote.verdict for vote in host.votes()]
+
+    def test_a_build_that_errs_goes_back_and_a_sound_one_on(self) -> None:
+        self.assertEqual(self.trial({0: 5, 1: 5, 2: 5, 3: 5})[:1], [Verdict.BACK])
+        self.assertEqual(self.trial({})[:1], [Verdict.ON])
+
+    def test_errors_on_one_machine_are_not_the_builds(self) -> None:
+        # rough-1 of athens-balancing: a good build went back for fast errors on single machines.
+        self.assertNotIn(Verdict.BACK, self.trial({0: 10}))
+
+    def test_faults_spread_thinly_are_seen_in_the_whole(self) -> None:
+        # rough-2 of sicilia-stazioni: one or two errors a server, under every floor, on a build that errs.
+        self.assertEqual(self.trial({place: 2 for place in range(8)}, servers=8)[:1], [Verdict.BACK])
+
+    def test_a_clock_is_held_while_the_last_3_s_score(self) -> None:
+        host = FakeHost(control=Control.AUTOMATIC, now=20 * SECOND)
+        for unit in host.units:
+            host.relay._scoring.record(mine(unit), PURE, {}, host.relay.now, 10)
+        host.run(SECOND)
+        host.news(2, 0, Phase.TRIAL, 0.1)
+        unit = host.listed(2, since=host.relay.now)
+        host.run(6 * SECOND)
+        self.assertEqual(host.votes(), [])
+        ballot = host.relay._ballot
+        told = News(2, 0, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
+        self.assertEqual(ballot.verdict(told, True, 0.0, 3.1, False), Verdict.HOLD)
+        self.assertEqual((ballot.verdict(told, True, 0.0, 2.9, False), unit.build), (None, 2))
+
+    def test_peers_outcomes_count_and_a_restarted_relay_votes_on_them(self) -> None:
+        host = FakeHost(now=20 * SECOND)
+        for unit in host.units:
+            host.relay._scoring.record(mine(unit), PURE, {}, host.relay.now, 10)
+        host.run(SECOND)
+        host.news(2, 0, Phase.TRIAL, 0.1)
+        unit = host.listed(2, since=host.relay.now)
+        host.relay.heard(1, [Sighting(unit, PURE, 2, 10, [6, 0, 0, 0])])
+        host.run(SECOND)
+        self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.BACK])
+
+    def test_a_fleet_that_slows_stage_by_stage_sends_the_build_back(self) -> None:
+        # big-1 of athens-balancing: a build that slows all servers; iaace09: a slow day that is nobody's.
+        for shares, verdict in (((0, 5, 20, 60), Verdict.BACK), ((0, 40, 40, 40), Verdict.ON)):
+            host = FakeHost(now=20 * SECOND)
+            for stage, slow in enumerate(shares[:3]):
+                for unit in host.units:
+                    host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: slow}, host.relay.now, 100)
+                host.relay._calm_rate = 1.0
+                host.news(2, stage, Phase.TRIAL, 0.1)
+                host.run(20 * SECOND)
+            for unit in host.units:
+                host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: shares[3]}, host.relay.now, 100)
+            told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
+            self.assertEqual(host.relay._creeping(told), verdict is Verdict.BACK)
+
+
+class Arithmetic(unittest.TestCase):
+    def test_z_has_a_floor_of_one_outcome(self) -> None:
+        self.assertAlmostEqual(z_score(3, 10, 0.0), 3.0)
+        self.assertAlmostEqual(z_score(6, 10, 0.5), 0.1 / (0.5 / 10**0.5))
+
+    def test_score_is_z_times_decay_times_percentile_times_weight(self) -> None:
+        scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
+        base = [Window(mine(FakeHost(units=1).units[0]), PURE, 1, 0, 100)]
+        self.assertAlmostEqual(scoring._score(4, 10, Fault.SLOW, base, 3 * SECOND, [0.0] * 3 + [0.4]), 1.75)
+        self.assertAlmostEqual(scoring._score(4, 10, Fault.BROKEN, base, 0, [0.0, 0.4]), 30.0)
+        self.assertEqual(scoring._score(2, 10, Fault.BROKEN, base, 0, [0.0, 0.2]), 0.0)
+
+
+class Load(unittest.TestCase):
+    def test_a_silent_unit_is_left_a_single_trip(self) -> None:
+        # big-2 and the overload days: queues grew past any use before open trips were bounded.
+        host = FakeHost(units=1)
+        for _ in range(5):
+            host.ask(PURE)
+        self.assertEqual(len(host.sent()), 1)
+
+    def test_room_goes_to_the_worthier_lookup_first(self) -> None:
+        host = FakeHost(units=1)
+        first, cheap, dear = host.ask(PURE), host.ask(PURE), host.ask(EFFECTFUL)
+        host.end(host.sent(first)[0])
+        self.assertEqual((len(host.sent(cheap)), len(host.sent(dear))), (0, 1))
+
+    def test_failing_units_are_set_aside_never_most_and_come_back(self) -> None:
+        host = FakeHost(units=4)
+        for _ in range(40):
+            for trip in host.sent(host.ask(EFFECTFUL)):
+                host.end(trip, Fate.ERROR)
+        aside = [unit for unit in host.units if mine(unit).aside > host.relay.now]
+        self.assertEqual(len(aside), 2)
+        host.run(4 * SECOND)
+        self.assertFalse([unit for unit in host.units if mine(unit).aside > host.relay.now])
+
 
 if __name__ == "__main__":
     unittest.main()
