The worst servers count as the next best, not left out

Cause: leaving out the worst quarter threw away half of the faults of builds that fail only when busy.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -131,12 +131,10 @@
         return self._keys.get(lookup.key or "", -1)
 
     def _guards(self, build: int, lookup: Lookup) -> bool:
-        """True in a stage that takes pure lookups only, for one that is not."""
         stage = self.news.stage if self.news and build == self.news.build else 0
         return stage < self._trial.guarded and lookup.lane.repeat is not Repeat.PURE
 
     def hopeless(self, lookup: Lookup) -> bool:
-        """No waiting helps a lookup whose key is tied to a build that does not take its lane yet."""
         return self.on_trial(self._tie(lookup)) and self._guards(self._tie(lookup), lookup)
 
     def allows(self, build: int, lookup: Lookup, now: Ticks) -> bool:
@@ -185,8 +183,10 @@
 
 
 def best(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
-    kept = sorted(counts.values(), key=lambda count: count[0] / count[1])[:keep]
-    return sum(faults for faults, _ in kept), sum(many for _, many in kept)
+    """Sums in which the servers with the largest shares count as the worst of those to keep does."""
+    shares = sorted(faults / many for faults, many in counts.values())
+    top = shares[keep - 1] if keep else 0.0
+    return int(sum(min(f, top * n) for f, n in counts.values()) + 1e-6), sum(n for _, n in counts.values())
 
 
 FAULTS = dict.fromkeys((Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.CUT), Fault.SHUT)
@@ -275,8 +275,8 @@
 
     def _whole(self, blocks: list[Window], base: list[Window], trial: int, now: Ticks) -> float:
         """The same score for the trial build as a whole, less that of the earlier one: guards against a fault
-        spread so thinly that no single server shows it. The worst quarter of the servers is left out, so that
-        a trouble of a few machines does not pass for one."""
+        spread so thinly that no single server shows it. The worst quarter of the servers counts as the next
+        best does, so that a trouble of a few machines does not pass for one."""
         total, some_old = 0.0, any(block.build < trial for block in blocks)
         # With no earlier server left to compare with, slowness is as likely the load's doing.
         for fault in Fault if some_old else HARD:
