--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -10,7 +10,7 @@
 from collections.abc import Generator, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from math import sqrt
+from math import ceil, sqrt
 from random import Random
 
 from lanelead.interface import (
@@ -242,7 +242,8 @@
         many = sum(w.outcomes for w in base)
         if not many or not outcomes:
             return 0.0
-        z = z_score(faults, outcomes, sum(w.faults.get(fault, 0) for w in base) / many)
+        # One fault more than seen: a thin baseline without any would make a few stray ones look like many.
+        z = z_score(faults, outcomes, (sum(w.faults.get(fault, 0) for w in base) + 1) / (many + 1))
         decay = 1 / (max(0, gap) / self._scale + 1)
         return z * decay * percentile(faults / outcomes, among) * fault.value if z > 2 else 0.0
 
@@ -484,9 +485,9 @@
         _, lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)
         # Machines listed late start the stage's clock late; while most are set aside, nothing is learnt.
         wait, old = 5 * SECOND, sum(server.build < news.build for server in ready)
-        all_here = len(new) >= int(self._trial.shares[news.stage] * old + 0.5)
+        all_here = len(new) >= ceil(self._trial.shares[news.stage] * old - 1e-6)
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
-        settled = self.now - max(server.since for server in new) >= wait
+        settled = self.now - max(self._told, *(server.since for server in new)) >= wait
         ripe = settled and not shut_out and (all_here or news.age >= 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
         vote = Vote(news.build, news.stage, verdict) if verdict else None
