--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -102,8 +102,7 @@
             self._keys.clear()
 
     def on_trial(self, build: int) -> bool:
-        """True for the build last told of until its release, and for any later one."""
-        told = self.news
+        told = self.news  # the build last told of is on trial until its release, and any later one
         return told is None or build > told.build - (told.phase is not Phase.RELEASED)
 
     def _cap(self, build: int) -> float:
@@ -182,8 +181,7 @@
     return counts
 
 
-def best(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
-    """Sums in which the servers with the largest shares count as the worst of those to keep does."""
+def tamed(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
     shares = sorted(faults / many for faults, many in counts.values())
     top = shares[keep - 1] if keep else 0.0
     return int(sum(min(f, top * n) for f, n in counts.values()) + 1e-6), sum(n for _, n in counts.values())
@@ -242,8 +240,9 @@
         many = sum(w.outcomes for w in base)
         if not many or not outcomes:
             return 0.0
-        # One fault more than seen: a thin baseline without any would make a few stray ones look like many.
-        z = z_score(faults, outcomes, (sum(w.faults.get(fault, 0) for w in base) + 1) / (many + 1))
+        # One stray fault more than seen, errors apart: a thin baseline makes a few look like many.
+        before = sum(w.faults.get(fault, 0) for w in base) + (fault is not Fault.BROKEN)
+        z = z_score(faults, outcomes, before / (many + 1))
         decay = 1 / (max(0, gap) / self._scale + 1)
         return z * decay * percentile(faults / outcomes, among) * fault.value if z > 2 else 0.0
 
@@ -271,8 +270,8 @@
         # Guards against a trouble of one machine that would carry the mean alone: no server counts for more
         # than twice the margin. It could do harm with a build that fails on few machines; 'on' still waits.
         mean = sum(min(score, 6.0) for score in new) / max(1, len(new))
-        margin = mean - sum(old) / max(1, len(old))
-        return margin + self._whole(every, base, trial, now), mean
+        whole = self._whole(every, base, trial, now)
+        return mean - sum(old) / max(1, len(old)) + whole, mean
 
     def _whole(self, blocks: list[Window], base: list[Window], trial: int, now: Ticks) -> float:
         """The same score for the trial build as a whole, less that of the earlier one: guards against a fault
@@ -285,7 +284,7 @@
             shares = [faults / many for faults, many in counts.values()]
             for sign, new in ((1, True), (-1, False)):
                 side = {server: count for server, count in counts.items() if (server.build == trial) is new}
-                faults, many = best(side, len(side) - len(side) // 4 - (len(side) > 1))
+                faults, many = tamed(side, len(side) - len(side) // 4 - (len(side) > 1))
                 starts = [server.since if new else self.stage_start for server in side] or [now]
                 gap = now - sum(starts) // len(starts)
                 total += sign * self._score(faults, many, fault, base, gap, shares)
@@ -295,7 +294,7 @@
         """Slow answers and outcomes lately, at the better half of the servers, whatever their build."""
         lately = [w for w in self._windows if w.start >= now - self._span and w.outcomes]
         counts = tally([w for w in lately if w.server in servers], Fault.SLOW)
-        return best(counts, (len(counts) + 1) // 2)
+        return tamed(counts, (len(counts) + 1) // 2)
 
 
 class Ballot:
@@ -407,8 +406,8 @@
         self._ballot.hear(news, self.now)
         if news.word is not Fate.DONE:
             return
-        self._told = self.now - news.age
         self._exposure.hear(news)
+        self._told = self.now - news.age
         if (news.build, news.stage) != self._stage:
             self._stage, self._scoring.stage_start = (news.build, news.stage), self._told
             faults, outcomes = self._slowness()
