--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -391,7 +391,7 @@
         self._usual, self._margin, self._stage, self._told = 0.0, 0.0, (-1, 0), 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
-        self.acts += [Wake(now + SECOND // 2, None), *([Watch(True)] if duties.subscribe else [])]
+        self.acts += [Wake(now + SECOND // 5, None), *([Watch(True)] if duties.subscribe else [])]
 
     def meet(self, mark: int) -> Unit:
         return Server(mark, 2 * self._longest)
@@ -471,7 +471,7 @@
         pass
 
     def _tick(self) -> None:
-        self.acts.append(Wake(self.now + SECOND // 2, None))
+        self.acts.append(Wake(self.now + SECOND // 5, None))
         self.acts += [Tell(None, [*self._untold.values()])] if self._untold else []
         self._untold.clear()
         self._learn_usual()
