--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -309,8 +309,7 @@
     def hear(self, news: News, now: Ticks) -> None:
         if news.answer and news.word is Fate.DONE:
             self._quiet = now
-        elif news.answer:
-            # A vote that may be lost is cast again, after a random time, since all relays lost theirs.
+        elif news.answer:  # it may be lost: cast again, after a random time, since all relays lost theirs
             self._cast = None
             self._quiet = now + int(self._poll.answer_limit * self._chance.uniform(0.1, 0.5))
 
@@ -331,7 +330,7 @@
             return None
         if self._poll.control is Control.AUTOMATIC:
             return Verdict.HOLD if lately > 3 else Verdict.NONE if self._cast else None
-        return Verdict.ON if ripe and margin <= 1 else None
+        return Verdict.ON if ripe else None
 
 
 class Health:
@@ -388,7 +387,7 @@
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._rate, self._copies, self._shed = (Fading(4 * SECOND) for _ in range(3))
-        self._usual, self._margin, self._stage, self._told = 0.0, 0.0, (-1, 0), 0
+        self._usual, self._margin, self._stage, self._told, self._doubt = 0.0, 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
         self.acts += [Wake(now + SECOND // 5, None), *([Watch(True)] if duties.subscribe else [])]
@@ -486,8 +485,9 @@
         wait, old = 5 * SECOND, sum(server.build < news.build for server in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * old - 1e-6)
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
-        settled = self.now - max(self._told, *(server.since for server in new)) >= wait
-        ripe = settled and not shut_out and (all_here or news.age >= 3 * wait)
+        self._doubt = self.now if self._margin > 1 else self._doubt
+        settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
+        ripe = settled and not shut_out and (all_here or self.now - self._told >= 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
         vote = Vote(news.build, news.stage, verdict) if verdict else None
         if vote and self._ballot.cast(vote, self.now):
