--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -349,7 +349,7 @@
             server.aside = now + self._rest + int(self._rest * self._chance.random())
 
     def room(self, server: Server, now: Ticks) -> bool:
-        """May a unit hold one more trip? As many as it lately did in three quarters of the expected time, and
+        """May a unit hold one more trip? As many as it lately did in six tenths of the expected time, and
         one to learn by. Guards against queues too long for any answer to come in time, whatever fills them (a
         burst, a slow build, a neighbour, silence). It could do harm where answers come in bunches."""
         return len(server.out) < max(1.0, 1.2 * server.done.read(now) / (2 * SECOND) * self._target)
