--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -378,11 +378,10 @@
         self.now, self.acts = now, list[Act]()
         self._allowance, self._duties, self._trial = allowance, duties, trial
         self._poll, self._over_share, self._chance = poll, tariff.over_share, chance
-        times = sorted(lane.expected_time for lane in lanes)
-        self._longest = times[-1]
+        self._longest, least = (pick(lane.expected_time for lane in lanes) for pick in (max, min))
         self._roster, self._exposure, self._ballot = Roster(), Exposure(trial), Ballot(poll, chance)
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
-        self._health = Health(duties, times[0] // 2, 2 * times[-1], chance)
+        self._health = Health(duties, least // 2, 2 * self._longest, chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
@@ -423,6 +422,7 @@
 
     def started(self, trip: Trip) -> None:
         trip.streaming = True
+        self._resume.pop(trip.lookup, None)  # it belongs to the client now: no second copy
 
     def ended(self, trip: Trip, fate: Fate, closed: bool, took: Ticks, report: Report | None) -> None:
         lookup, server, trip.fate = trip.lookup, mine(trip.unit), fate
@@ -463,7 +463,7 @@
 
     def tally(self, counted: Tally) -> None:
         source = self._tallied.setdefault(counted.build, Server(0, self._longest))
-        source.build = counted.build
+        source.build, source.since = counted.build, self._told  # its gap is the stage's
         self._scoring.record(source, counted.lane, {Fault.BROKEN: counted.lost}, self.now, counted.trips)
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -29,6 +29,17 @@
         host.run(4 * SECOND)
         self.assertEqual((len(host.sent(lookup)), host.finals(lookup)), (1, []))
 
+    def test_a_stream_that_has_begun_gets_no_second_copy(self) -> None:
+        for begun, trips in ((False, 2), (True, 1)):
+            host = FakeHost()
+            for _ in range(30):
+                host.end(host.sent(host.ask(PURE))[0])
+            lookup = host.ask(PURE)
+            if begun:
+                host.relay.started(host.sent(lookup)[0])
+            host.run(SECOND)
+            self.assertEqual(len(host.sent(lookup)), trips)
+
     def test_an_empty_roster_sheds_at_once(self) -> None:
         host = FakeHost(units=0)
         self.assertEqual([type(act) for act in host.finals(host.ask(PURE))], [Shed])
