--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -262,6 +262,7 @@
             by_lane=self.word("familyInfo.capScope") == "each_class",
             guarded=self.whole("familyInfo.guardedStages"),
             keys_stay=self.flag("familyInfo.keysStay"),
+            in_place=self.word("familyInfo.swap") == "replace",
         )
 
     def poll(self) -> Poll:
--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -153,6 +153,7 @@
     by_lane: bool
     guarded: int
     keys_stay: bool
+    in_place: bool  # each earlier machine drains once its successor runs
 
 
 @dataclass(frozen=True)
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -482,8 +482,8 @@
         self._margin, _ = self._scoring.read(judged, news.build, self.now)
         _, lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)
         # Machines listed late start the stage's clock late; while most are set aside, nothing is learnt.
-        wait, old = 5 * SECOND, sum(server.build < news.build for server in ready)
-        all_here = len(new) >= ceil(self._trial.shares[news.stage] * old - 1e-6)
+        wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
+        all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
         settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -27,7 +27,7 @@
             place=Place(0, 3, "z"), lanes=[PURE, RECEIPTED, EFFECTFUL], members=[],
             allowance=Allowance(4, 1000, 100, True, True, True, copies, True, SECOND, SECOND // 4),
             duties=Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 3.0, SECOND, False, 0, 50),
-            trial=Trial((0.1, 0.5, 1.0), (0.1, 0.5, 1.0), 3.0, 4 * SECOND, by_lane, guarded, keys_stay),
+            trial=Trial((0.1, 0.5, 1), (0.1, 0.5, 1), 3.0, 4 * SECOND, by_lane, guarded, keys_stay, False),
             poll=Poll(control, 1, 1, 1, SECOND, 0, SECOND, 6 * SECOND, 100.0, 0.5, 2.0, 0.0),
             tariff=Tariff(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.1), chance=Random(7), now=now,
         )
