Tidy after a read of the whole change; behaviour as it was

The 3 s score is read only under a clock, the fleet's slowness and the question whether a lookup may wait only when needed (both ran on hot paths for nothing); a local that hid the function mine is renamed; an answered key reuses the tie.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -156,7 +156,7 @@
 
     def done(self, build: int, lookup: Lookup) -> None:
         if self._trial.keys_stay and lookup.key and (self.news is None or build >= self.news.build):
-            self._keys[lookup.key] = max(build, self._keys.get(lookup.key, 0))
+            self._keys[lookup.key] = max(build, self._tie(lookup))
 
 
 class Fault(Enum):
@@ -254,11 +254,11 @@
             if w.start < now - (span or self._span):
                 break
             if w.server in judged and w.build == w.server.build:
-                mine = blocks.setdefault((w.server, w.lane), [])
-                if not mine or mine[-1].outcomes >= self._fill:
-                    mine.append(Window(w.server, w.lane, w.build, w.start))
-                mine[-1].add(w.outcomes, w.faults)
-        every = [block for mine in blocks.values() for block in mine if block.outcomes]
+                row = blocks.setdefault((w.server, w.lane), [])
+                if not row or row[-1].outcomes >= self._fill:
+                    row.append(Window(w.server, w.lane, w.build, w.start))
+                row[-1].add(w.outcomes, w.faults)
+        every = [block for row in blocks.values() for block in row if block.outcomes]
         for block in every:
             like, of_lane = ([w for w in some if w.lane is block.lane] for some in (every, base))
             gap = now - (block.server.since if block.build >= trial else self.stage_start)
@@ -480,7 +480,8 @@
             return
         judged = [*ready, *self._tallied.values()]
         self._margin, _ = self._scoring.read(judged, news.build, self.now)
-        _, lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)
+        clock = self._poll.control is Control.AUTOMATIC
+        lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)[1] if clock else 0.0
         # Machines listed late start the stage's clock late; while most are set aside, nothing is learnt.
         wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
@@ -503,12 +504,11 @@
         traffic than before the build? Guards against a build that slows all units in step with its traffic.
         Only the better half of the servers counts, so that a trouble of some machines does not, and a hundred
         outcomes, so that a thin view sends nothing back. It could harm when traffic grows at other relays."""
-        faults, outcomes = self._slowness()
         released, age = news.phase is Phase.RELEASED, self.now - self._told
         busier = self._rate.read(self.now) - self._shed.read(self.now) > 1.3 * self._calm_rate
         if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
             return False
-        before, last = self._calm[0], self._calm[-1]
+        (faults, outcomes), before, last = self._slowness(), self._calm[0], self._calm[-1]
         worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (last - before))
         return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
 
@@ -577,17 +577,17 @@
 
     def _journey(self, lookup: Lookup) -> Journey:
         """One lookup, from its taking to its final answer."""
-        lane = lookup.lane
+        lane, worth = lookup.lane, self._worth(lookup)
         copy_at = lookup.taken + lane.expected_time // 2
         give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 6)
-        worth = self._worth(lookup)
         while True:
             outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
             server = None if outranked else self._choose(lookup)
-            able = any(self._repeatable(other, lookup) for other in self._roster.ready)
             if server is not None:
                 yield server
-            elif able and self.now < give_up and not self._exposure.hopeless(lookup):
+            elif self.now < give_up and not self._exposure.hopeless(lookup) and any(
+                self._repeatable(other, lookup) for other in self._roster.ready
+            ):
                 self._waiting[lookup] = worth
                 yield give_up
             else:
