Hubs and watchers, and cold and trial budgets by lot: the cold rule holds at full size

Cause: hundreds of relays each sent a starting unit its one trip and used the free number of the exposure, and told every outcome to every other. Now parts of a trip are rounded by lot, a purse filled by the cap's share replaces the free number in a large circle, outcomes go to three hubs and from there to the watchers (as many as can send a build back), a choice looks at 16 servers at most, and 'on' needs ten outcomes seen where few voices decide. Plain sums moved to sums.py.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -8,9 +8,9 @@
 
 from collections import deque
 from collections.abc import Generator, Iterable, Sequence
-from dataclasses import dataclass, field
 from enum import Enum
-from math import ceil, sqrt
+from itertools import takewhile
+from math import ceil, inf, sqrt
 from random import Random
 
 from lanelead.interface import (
@@ -18,23 +18,24 @@
     Lookup, Member, News, Note, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Sighting, Tally,
     Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
-from lanelead.sums import Fading, percentile
+from lanelead.sums import Fading, Ledger, Window, percentile, pooled, tally, tamed
 
 SECOND: Ticks = 10_000
+SIGHT = 16  # servers looked at for one choice, at most
+CIRCLE = 6  # relays that tell each other directly, at most
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
 class Server(Unit):
     """A unit as this relay knows it: what the roster says, and what its own trips have shown."""
 
-    def __init__(self, mark: int, span: Ticks) -> None:
+    def __init__(self, mark: int, span: Ticks, lot: float = 0.0) -> None:
         super().__init__(mark)
         self.out: dict[Trip, None] = {}  # trips without an end yet, oldest first
-        self.listed: Ticks = 0
-        self.aside: Ticks = 0  # set aside until then
+        self.listed, self.aside = 0, 0  # when it was, and until when it is set aside
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
-        self.done = Fading(2 * SECOND)
-        self.cold_sends: deque[Ticks] = deque()
+        self.done, self.cold_sends = Fading(2 * SECOND), deque[Ticks]()
+        self.lot = lot  # rounds its cold budget, up or down
 
 
 def mine(unit: Unit) -> Server:
@@ -46,8 +47,8 @@
     """The servers as last listed. Draining and gone ones leave `ready` the moment that they are told."""
 
     def __init__(self) -> None:
-        self.known: dict[Server, None] = {}
-        self.ready, self.builds = list[Server](), list[int]()
+        self.known, self.ready = dict[Server, None](), list[Server]()
+        self.groups: dict[int, list[Server]] = {}  # by build, the newest first
 
     def apply(self, coverage: Coverage, listings: Iterable[Listing], now: Ticks) -> None:
         if coverage is not Coverage.CHANGES:
@@ -61,38 +62,32 @@
             self.known[server] = None
         self.ready = [server for server in self.known if server.condition is Condition.READY]
         self.known = {server: None for server in self.known if server.condition is not Condition.GONE}
-        self.builds = list(dict.fromkeys(server.build for server in self.ready))
+        builds = sorted({server.build for server in self.ready}, reverse=True)
+        self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
 
 
-class Ledger:
-    """Trips at one build on trial: no stretch of the window, wherever it starts, may go over. An entry is
-    (time, trips - credit so far) before a trip; the smallest one of the window decides."""
+class Purse(Ledger):
+    """What a relay may send to one build on trial: what it holds, as far as the window leaves it."""
 
-    def __init__(self, free: float, window: Ticks) -> None:
-        self._free, self._window = free, window
-        self.credit, self.trips = 0.0, 0
-        self._low: deque[tuple[Ticks, float]] = deque()
+    def __init__(self, window: Ticks, held: float) -> None:
+        super().__init__(window)
+        self.held, self._depth = held, max(2.0, held)
 
-    def spare(self, now: Ticks) -> float:
-        while self._low and self._low[0][0] < now - self._window:
-            self._low.popleft()
-        return self._free + (min(0.0, self._low[0][1] - self.trips + self.credit) if self._low else 0.0)
+    def earn(self, share: float) -> None:
+        super().earn(share)
+        self.held = min(self.held + share, self._depth)
 
     def spend(self, now: Ticks) -> None:
-        stand = self.trips - self.credit
-        while self._low and self._low[-1][1] >= stand:
-            self._low.pop()
-        self._low.append((now, stand))
-        self.trips += 1
+        super().spend(now)
+        self.held -= 1
 
 
 class Exposure:
     """What may go to a build on trial: the cap, the guarded stages and the keys that stay."""
 
-    def __init__(self, trial: Trial) -> None:
-        self._trial = trial
-        self._ledgers: dict[tuple[int, Lane | None], Ledger] = {}
-        self._keys: dict[str, int] = {}
+    def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
+        self._trial, self._many, self._chance = trial, many, chance
+        self._ledgers, self._keys = dict[tuple[int, Lane | None], Purse](), dict[str, int]()
         self._seen: dict[str, tuple[Ticks, Ticks]] = {}  # the last two times, the oldest key first
         self.news: News | None = None
 
@@ -106,27 +101,29 @@
         return told is None or build > told.build - (told.phase is not Phase.RELEASED)
 
     def _cap(self, build: int) -> float:
-        """The cap in force; a build that the news does not name yet counts as in the first stage."""
-        if self.news is None or build > self.news.build:
+        if self.news is None or build > self.news.build:  # not named yet: as in the first stage
             return self._trial.caps[0] if self.news else 0.0
         return self.news.cap if self.news.phase is Phase.TRIAL else 0.0
 
-    def _ledger(self, build: int, lane: Lane) -> Ledger:
-        ledger = Ledger(self._trial.free, self._trial.window)
-        return self._ledgers.setdefault((build, lane if self._trial.by_lane else None), ledger)
+    def _ledger(self, build: int, lane: Lane) -> Purse:
+        """Guards against hundreds of relays that each use the free number: theirs goes unused, and the share
+        of what they take fills a purse, which outlasts the window. It slows a trial where traffic is rare."""
+        at = build, lane if self._trial.by_lane else None
+        if at not in self._ledgers:
+            self._ledgers[at] = Purse(self._trial.window, self._chance.random() if self._many else inf)
+        return self._ledgers[at]
 
     def take(self, lookup: Lookup, builds: Iterable[int], now: Ticks) -> None:
         """A lookup taken earns its share of a trip at each build on trial."""
         for build in filter(self.on_trial, builds):
-            self._ledger(build, lookup.lane).credit += self._cap(build)
+            self._ledger(build, lookup.lane).earn(self._cap(build))
         if self._trial.keys_stay and lookup.key is not None:
             last = self._seen.pop(lookup.key, (-self._trial.window * 2, -self._trial.window * 2))[1]
             self._seen[lookup.key] = last, now
             while self._seen[oldest := next(iter(self._seen))][1] < now - 2 * self._trial.window:
                 del self._seen[oldest]
 
-    def _tie(self, lookup: Lookup) -> int:
-        """The build that has answered the lookup's key, on trial or since its release: no earlier one may."""
+    def _tie(self, lookup: Lookup) -> int:  # the build that has answered its key: no earlier one may
         return self._keys.get(lookup.key or "", -1)
 
     def _guards(self, build: int, lookup: Lookup) -> bool:
@@ -143,12 +140,13 @@
         if cap <= 0 or self._guards(build, lookup):
             return False
         if self._trial.keys_stay and lookup.key is not None and build != self._tie(lookup):
-            # A key that has been here once is tied to the new build. Popular keys would soon use up the cap,
-            # and leave nothing for lookups that may go nowhere else: they come last, as the cap grows.
+            # A key that was here once is tied. Popular ones would soon use up the cap, and leave nothing for
+            # lookups that may go nowhere else: they come last, as the cap grows.
             need, rare = 2.0, 2 * self._trial.window * (1 - cap)
             if lookup.taken - self._seen[lookup.key][0] < rare:
                 return False
-        return self._ledger(build, lookup.lane).spare(now) >= need
+        purse = self._ledger(build, lookup.lane)
+        return min(self._trial.free + purse.least(now), purse.held) >= need
 
     def spend(self, build: int, lookup: Lookup, now: Ticks) -> None:
         if self.on_trial(build):
@@ -167,45 +165,17 @@
 
 
 def z_score(faults: int, outcomes: int, mean: float) -> float:
-    """Earlier windows hold too few outcomes for the source's deviation: it is the one that a window as full
-    as this would have, and never less than one outcome's share."""
+    """Earlier windows hold too few for the source's deviation: it is that of a window as full as this one."""
     deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
     return (faults / outcomes - mean) / deviation
 
 
-def tally(windows: Iterable[Window], fault: Fault) -> dict[Server, tuple[int, int]]:
-    counts: dict[Server, tuple[int, int]] = {}
-    for w in windows:
-        faults, many = counts.get(w.server, (0, 0))
-        counts[w.server] = faults + w.faults.get(fault, 0), many + w.outcomes
-    return counts
-
-
-def tamed(counts: dict[Server, tuple[int, int]], keep: int) -> tuple[int, int]:
-    shares = sorted(faults / many for faults, many in counts.values())
-    top = shares[keep - 1] if keep else 0.0
-    return int(sum(min(f, top * n) for f, n in counts.values()) + 1e-6), sum(n for _, n in counts.values())
-
-
 FAULTS = dict.fromkeys((Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.CUT), Fault.SHUT)
 STRIKES = {Fate.UNREACHABLE: 2.0, Fate.CUT: 1.0, Fate.ERROR: 1.0, Fate.TIMED_OUT: 1.0}
 HARD = (Fault.BROKEN, Fault.WRONG)
 
 
-@dataclass(slots=True, eq=False)
-class Window:
-    """The outcomes of one lane at one server in a second, or in a few of them that are judged together."""
-
-    server: Server
-    lane: Lane
-    build: int
-    start: Ticks
-    outcomes: int = 0
-    faults: dict[Fault, int] = field(default_factory=dict)
-
-    def add(self, outcomes: int, faults: dict[Fault, int]) -> None:
-        self.outcomes += outcomes
-        self.faults.update({fault: self.faults.get(fault, 0) + many for fault, many in faults.items()})
+View = Window[Server, Fault]
 
 
 class Scoring:
@@ -213,87 +183,96 @@
 
     def __init__(self, span: Ticks, scale: Ticks, fill: int, ripe: Ticks) -> None:
         self._span, self._scale, self._fill, self._ripe = span, scale, fill, ripe
-        self._windows: deque[Window] = deque()
-        self._open: dict[tuple[Server, Lane], Window] = {}
+        self._windows: deque[View] = deque()
+        self._open: dict[tuple[Server, Lane], View] = {}
+        self._before: dict[Lane | None, View] = {}
         self.stage_start: Ticks = 0
+        self._trial, self.seen = 0, 0  # outcomes of the stage at the build on trial
+
+    def begin(self, trial: int, start: Ticks) -> None:
+        self._trial, self.stage_start, self.seen = trial, start, 0
+        self._before = pooled(w for w in self._earlier(start - 2 * self._span) if w.start < start)
 
     def record(self, server: Server, lane: Lane, faults: dict[Fault, int], now: Ticks, outcomes: int) -> None:
         window, second = self._open.get((server, lane)), now - now % SECOND
         if window is None or (window.start, window.build) != (second, server.build):
             window = self._open[server, lane] = Window(server, lane, server.build, second)
             self._windows.append(window)
-            while self._windows[0].start < min(self.stage_start, now) - 2 * self._span:
+            while self._windows[0].start < now - 4 * self._span:
                 self._windows.popleft()
         # Coldness makes a server slow, but never wrong: only slowness goes unscored until it is ripe.
         ripe = now - server.listed >= self._ripe
         window.add(outcomes, {fault: many for fault, many in faults.items() if ripe or fault in HARD})
+        self.seen += outcomes if server.build >= self._trial else 0
+
+    def _since(self, start: Ticks) -> Iterable[View]:
+        return takewhile(lambda w: w.start >= start, reversed(self._windows))
 
-    def _base(self, trial: int, now: Ticks) -> list[Window]:
-        """The earlier build's last windows before the stage; if there are none, its current ones."""
-        earlier, reach = [w for w in self._windows if w.build < trial], 2 * self._span
-        before = [w for w in earlier if self.stage_start - reach <= w.start < self.stage_start]
-        return before or [w for w in earlier if w.start >= now - reach]
+    def _earlier(self, start: Ticks) -> Iterable[View]:
+        return (w for w in self._since(start) if w.build < self._trial)
 
     def _score(
-        self, faults: int, outcomes: int, fault: Fault, base: list[Window], gap: Ticks, among: list[float]
+        self, faults: int, outcomes: int, fault: Fault, base: View | None, gap: Ticks, among: list[float]
     ) -> float:
-        many = sum(w.outcomes for w in base)
-        if not many or not outcomes:
+        if base is None or not base.outcomes or not outcomes:
             return 0.0
         # One stray fault more than seen, errors apart: a thin baseline makes a few look like many.
-        before = sum(w.faults.get(fault, 0) for w in base) + (fault is not Fault.BROKEN)
-        z = z_score(faults, outcomes, before / (many + 1))
-        decay = 1 / (max(0, gap) / self._scale + 1)
+        before = base.faults.get(fault, 0) + (fault is not Fault.BROKEN)
+        z, decay = z_score(faults, outcomes, before / (base.outcomes + 1)), self._scale / (gap + self._scale)
         return z * decay * percentile(faults / outcomes, among) * fault.value if z > 2 else 0.0
 
-    def read(self, servers: Sequence[Server], trial: int, now: Ticks, span: Ticks = 0) -> tuple[float, float]:
+    def read(self, servers: Sequence[Server], now: Ticks, span: Ticks = 0) -> tuple[float, float]:
         """The margin of the trial servers' mean score over the earlier ones', and that mean itself."""
-        base, judged = self._base(trial, now), dict.fromkeys(servers, 0.0)
-        blocks: dict[tuple[Server, Lane], list[Window]] = {}
-        for w in reversed(self._windows):
-            if w.start < now - (span or self._span):
-                break
+        judged = dict.fromkeys(servers, 0.0)
+        blocks: dict[tuple[Server, Lane], list[View]] = {}
+        for w in self._since(now - (span or self._span)):
             if w.server in judged and w.build == w.server.build:
                 row = blocks.setdefault((w.server, w.lane), [])
                 if not row or row[-1].outcomes >= self._fill:
                     row.append(Window(w.server, w.lane, w.build, w.start))
                 row[-1].add(w.outcomes, w.faults)
         every = [block for row in blocks.values() for block in row if block.outcomes]
+        if not any(block.faults for block in every):
+            return 0.0, 0.0
+        base = self._before or pooled(self._earlier(now - 2 * self._span))
+        ranks: dict[tuple[Lane, Fault], list[float]] = {}
         for block in every:
-            like, of_lane = ([w for w in some if w.lane is block.lane] for some in (every, base))
-            gap = now - (block.server.since if block.build >= trial else self.stage_start)
+            gap = max(0, now - (block.server.since if block.build >= self._trial else self.stage_start))
             for fault, many in block.faults.items():
-                among = [other.faults.get(fault, 0) / other.outcomes for other in like]
+                if (among := ranks.get((block.lane, fault))) is None:
+                    like = (other for other in every if other.lane is block.lane)
+                    among = sorted(other.faults.get(fault, 0) / other.outcomes for other in like)
+                    ranks[block.lane, fault] = among
+                of_lane = base.get(block.lane)
                 judged[block.server] += self._score(many, block.outcomes, fault, of_lane, gap, among)
-        new = [score for server, score in judged.items() if server.build == trial]
-        old = [score for server, score in judged.items() if server.build < trial]
+        new = [score for server, score in judged.items() if server.build == self._trial]
+        old = [score for server, score in judged.items() if server.build < self._trial]
         # Guards against a trouble of one machine that would carry the mean alone: no server counts for more
         # than twice the margin. It could do harm with a build that fails on few machines; 'on' still waits.
         mean = sum(min(score, 6.0) for score in new) / max(1, len(new))
-        whole = self._whole(every, base, trial, now)
-        return mean - sum(old) / max(1, len(old)) + whole, mean
+        return mean - sum(old) / max(1, len(old)) + self._whole(every, base.get(None), now), mean
 
-    def _whole(self, blocks: list[Window], base: list[Window], trial: int, now: Ticks) -> float:
+    def _whole(self, blocks: list[View], base: View | None, now: Ticks) -> float:
         """The same score for the trial build as a whole, less that of the earlier one: guards against a fault
-        spread so thinly that no single server shows it. The worst quarter of the servers counts as the next
-        best does, so that a trouble of a few machines does not pass for one."""
-        total, some_old = 0.0, any(block.build < trial for block in blocks)
+        spread too thinly for single servers. The worst quarter of them counts as the next best does, so that
+        a trouble of a few machines does not pass for one."""
+        total, some_old = 0.0, any(block.build < self._trial for block in blocks)
         # With no earlier server left to compare with, slowness is as likely the load's doing.
         for fault in Fault if some_old else HARD:
             counts = tally(blocks, fault)
-            shares = [faults / many for faults, many in counts.values()]
+            shares = sorted(faults / many for faults, many in counts.values())
             for sign, new in ((1, True), (-1, False)):
-                side = {server: count for server, count in counts.items() if (server.build == trial) is new}
+                side = {server: n for server, n in counts.items() if (server.build == self._trial) is new}
                 faults, many = tamed(side, len(side) - len(side) // 4 - (len(side) > 1))
                 starts = [server.since if new else self.stage_start for server in side] or [now]
-                gap = now - sum(starts) // len(starts)
+                gap = max(0, now - sum(starts) // len(starts))
                 total += sign * self._score(faults, many, fault, base, gap, shares)
         return total
 
-    def slowness(self, servers: Sequence[Server], now: Ticks) -> tuple[int, int]:
+    def slowness(self, now: Ticks) -> tuple[int, int]:
         """Slow answers and outcomes lately, at the better half of the servers, whatever their build."""
-        lately = [w for w in self._windows if w.start >= now - self._span and w.outcomes]
-        counts = tally([w for w in lately if w.server in servers], Fault.SLOW)
+        ready = (w for w in self._since(now - self._span) if w.server.condition is Condition.READY)
+        counts = tally((w for w in ready if w.outcomes), Fault.SLOW)
         return tamed(counts, (len(counts) + 1) // 2)
 
 
@@ -303,8 +282,7 @@
     def __init__(self, poll: Poll, chance: Random) -> None:
         self._poll, self._chance = poll, chance
         self._cast: Vote | None = None
-        self._lapses: Ticks = 0  # when the vote that stands has to be cast again
-        self._quiet: Ticks = 0  # no vote before then: one is on its way, or the platform had too many
+        self._lapses, self._quiet = 0, 0  # when the vote must be cast again, and until when none may be
 
     def hear(self, news: News, now: Ticks) -> None:
         if news.answer and news.word is Fate.DONE:
@@ -349,20 +327,38 @@
             server.aside = now + self._rest + int(self._rest * self._chance.random())
 
     def room(self, server: Server, now: Ticks) -> bool:
-        """May a unit hold one more trip? As many as it lately did in six tenths of the expected time, and
-        one to learn by. Guards against queues too long for any answer to come in time, whatever fills them (a
-        burst, a slow build, a neighbour, silence). It could do harm where answers come in bunches."""
+        """May a unit hold one more trip? As many as it lately did in six tenths of the expected time, and one
+        to learn by. Guards against long queues, whatever fills them. Answers in bunches could mislead it."""
         return len(server.out) < max(1.0, 1.2 * server.done.read(now) / (2 * SECOND) * self._target)
 
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
-        """May a cold unit take one more? `usual`: what a warm one does for this relay a second. If each relay
-        stays under a multiple of its own usual, all together do, however lopsided the traffic is."""
+        """May a cold unit take one more? If each relay stays under a multiple of what a warm one does for it,
+        all do. Parts of a trip are rounded by lot: hundreds that each send just one would push it over."""
         sends, age = server.cold_sends, now - server.since
         while sends and sends[0] <= now - self._fall:
             sends.popleft()
         rise = self._share + (1 - self._share) * max(0, age) / max(1, self._time)
         budget = self._multiple / 2 * rise * usual * self._fall / SECOND
-        return age >= self._time or server.since <= 0 or len(sends) < max(1.0, budget)
+        return age >= self._time or server.since <= 0 or len(sends) + 1 <= budget + server.lot
+
+
+class Circle:
+    """Who tells whom what it saw. In a small circle all tell all; in a large one each tells a hub drawn anew,
+    and the hubs the watchers, as many as can send a build back: the bytes grow with the traffic, not with
+    the square of the relays. Where messages are lost, each has its own view left."""
+
+    def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
+        self._number, self._chance = place.number, chance
+        self._hubs = place.relays if place.relays <= CIRCLE else CIRCLE // 2
+        self.watchers = min(place.relays, max(self._hubs, back_votes * 5 // 4))
+
+    def passes_on(self, sender: int) -> bool:
+        return self._number < self._hubs <= sender
+
+    def listeners(self) -> list[int]:
+        if self._number >= self._hubs:
+            return [self._chance.randrange(self._hubs)]
+        return [peer for peer in range(self.watchers) if peer != self._number]
 
 
 Journey = Generator[Server | Ticks, Trip | None, None]  # yields a server to try, or until when to wait
@@ -379,26 +375,31 @@
         self._allowance, self._duties, self._trial = allowance, duties, trial
         self._poll, self._over_share, self._chance = poll, tariff.over_share, chance
         self._longest, least = (pick(lane.expected_time for lane in lanes) for pick in (max, min))
-        self._roster, self._exposure, self._ballot = Roster(), Exposure(trial), Ballot(poll, chance)
+        self._roster, self._ballot = Roster(), Ballot(poll, chance)
+        self._circle = Circle(place, poll.back_votes, chance)
+        self._exposure = Exposure(trial, place.relays > CIRCLE, chance)
+        self._beat = SECOND // 5 if place.relays <= CIRCLE else SECOND // 2
+        self._quota = sum(member.quota for member in members) / place.relays  # until it has seen better
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
-        self._rate, self._copies, self._shed = (Fading(4 * SECOND) for _ in range(3))
+        self._rate, self._copies, self._trips = (Fading(4 * SECOND) for _ in range(3))
         self._usual, self._margin, self._stage, self._told, self._doubt = 0.0, 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
-        self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane], Sighting]()
-        self.acts += [Wake(now + SECOND // 5, None), *([Watch(True)] if duties.subscribe else [])]
+        self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane, int], Sighting]()
+        self.acts.append(Wake(now + int(self._beat * chance.uniform(0.5, 1)), None))
+        self.acts += [Watch(True)] if duties.subscribe else []
 
     def meet(self, mark: int) -> Unit:
-        return Server(mark, 2 * self._longest)
+        return Server(mark, 2 * self._longest, self._chance.random())
 
     def roster(self, coverage: Coverage, listings: Sequence[Listing]) -> None:
-        if coverage is not Coverage.FAILED:
-            self._roster.apply(coverage, listings, self.now)
-        else:
+        if coverage is Coverage.FAILED:
             self.acts.append(Watch(True) if self._duties.subscribe else Fetch())
+        else:
+            self._roster.apply(coverage, listings, self.now)
 
     def news(self, news: News) -> None:
         self._ballot.hear(news, self.now)
@@ -407,16 +408,17 @@
         self._exposure.hear(news)
         self._told = self.now - news.age
         if (news.build, news.stage) != self._stage:
-            self._stage, self._scoring.stage_start = (news.build, news.stage), self._told
-            faults, outcomes = self._slowness()
+            self._stage = news.build, news.stage
+            self._scoring.begin(news.build, self._told)
+            faults, outcomes = self._scoring.slowness(self.now)
             if news.stage == 0:
-                self._calm, self._calm_rate = [], self._rate.read(self.now)
+                self._calm, self._calm_rate = [], self._trips.read(self.now)
             self._calm += [faults / outcomes] if outcomes and len(self._calm) == news.stage else []
 
     def take(self, lookup: Lookup) -> None:
         self._rate.add(self.now, 1)
         self._callers[lookup.member].add(self.now, 1)
-        self._exposure.take(lookup, self._roster.builds, self.now)
+        self._exposure.take(lookup, self._roster.groups, self.now)
         self._journeys[lookup] = self._journey(lookup)
         self._advance(lookup, None)
 
@@ -428,8 +430,6 @@
         lookup, server, trip.fate = trip.lookup, mine(trip.unit), fate
         server.out.pop(trip, None)
         self._learn(trip, server, fate, took)
-        if fate is Fate.DONE:
-            self._exposure.done(server.build, lookup)
         if closed:
             self.left(lookup)
         elif not lookup.over:
@@ -444,22 +444,22 @@
 
     def heard(self, peer: int, sightings: Sequence[Sighting]) -> None:
         for seen in sightings:
-            faults = dict(zip(Fault, seen.faults, strict=True))
-            self._scoring.record(mine(seen.unit), seen.lane, faults, self.now, seen.outcomes)
-
-    def _witness(self, server: Server, lane: Lane, fault: Fault | None, outcomes: int) -> None:
-        """Counts an outcome. Early stages give one relay too few, so it tells its peers of those on trial;
-        and of faults elsewhere, since judged on less evidence they would hide a trouble of both builds."""
-        self._scoring.record(server, lane, {fault: 1} if fault else {}, self.now, outcomes)
-        if self._allowance.peers and (fault in HARD or self._exposure.on_trial(server.build)):
-            empty = Sighting(server, lane, server.build, 0, [0] * len(Fault))
-            seen = self._untold.setdefault((server, lane), empty)
+            faults = {fault: many for fault, many in zip(Fault, seen.faults, strict=True) if many}
+            self._count(mine(seen.unit), seen.lane, faults, seen.outcomes, self._circle.passes_on(peer))
+
+    def _count(self, server: Server, lane: Lane, faults: dict[Fault, int], outcomes: int, tell: bool) -> None:
+        # One relay sees too few, so they are told; those at earlier servers too, which judged on less
+        # evidence would hide a trouble of both builds.
+        self._scoring.record(server, lane, faults, self.now, outcomes)
+        self._trips.add(self.now, outcomes)
+        if tell and self._allowance.peers:
+            at = server, lane, server.build
+            seen = self._untold.setdefault(at, Sighting(*at, 0, [0] * len(Fault)))
             seen.outcomes += outcomes
-            if fault:
-                seen.faults[list(Fault).index(fault)] += 1
+            seen.faults = [n + faults.get(fault, 0) for n, fault in zip(seen.faults, Fault, strict=True)]
 
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None:
-        self._witness(mine(unit), lane, Fault.WRONG, 0)
+        self._count(mine(unit), lane, {Fault.WRONG: 1}, 0, True)
 
     def tally(self, counted: Tally) -> None:
         source = self._tallied.setdefault(counted.build, Server(0, self._longest))
@@ -470,45 +470,40 @@
         pass
 
     def _tick(self) -> None:
-        self.acts.append(Wake(self.now + SECOND // 5, None))
-        self.acts += [Tell(None, [*self._untold.values()])] if self._untold else []
-        self._untold.clear()
+        self.acts.append(Wake(self.now + self._beat, None))
+        if self._untold:
+            self.acts += [Tell(peer, [*self._untold.values()]) for peer in self._circle.listeners()]
+            self._untold.clear()
         self._learn_usual()
         news, ready = self._exposure.news, self._roster.ready
-        new = [server for server in ready if news and server.build == news.build]
-        if news is None or not new:
+        if news is None or not (new := self._roster.groups.get(news.build)):
             return
         judged = [*ready, *self._tallied.values()]
-        self._margin, _ = self._scoring.read(judged, news.build, self.now)
-        clock = self._poll.control is Control.AUTOMATIC
-        lately = self._scoring.read(judged, news.build, self.now, 3 * SECOND)[1] if clock else 0.0
-        # Machines listed late start the stage's clock late; while most are set aside, nothing is learnt.
+        self._margin, _ = self._scoring.read(judged, self.now)
+        lately = self._scoring.read(judged, self.now, 3 * SECOND)[1] if self._poll.hold_votes else 0.0
+        # Machines listed late start the clock late; while most are set aside, nothing is learnt.
         wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
         settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
-        ripe = settled and not shut_out and (all_here or self.now - self._told >= 3 * wait)
+        # Guards against a thin view that releases what others doubt. Where most relays must stand for it,
+        # thin views must not block it: the watchers' way back guards. It could harm where traffic is rare.
+        knows = self._poll.on_votes > self._circle.watchers or self._scoring.seen >= 10
+        ripe = settled and knows and not shut_out and (all_here or self.now - self._told >= 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
-        vote = Vote(news.build, news.stage, verdict) if verdict else None
-        if vote and self._ballot.cast(vote, self.now):
-            self.acts += [vote, Note(f"{vote.verdict.name} on build {news.build}: margin {self._margin:.1f}")]
-
-    def _slowness(self) -> tuple[int, int]:
-        shed = int(self._shed.read(self.now))  # it found no room: it would have been slow
-        faults, outcomes = self._scoring.slowness(self._roster.ready, self.now)
-        return faults + shed, outcomes + shed
+        if verdict and self._ballot.cast(vote := Vote(news.build, news.stage, verdict), self.now):
+            self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _creeping(self, news: News) -> bool:
-        """Has the whole fleet grown slow stage by stage, or far slower right at the release, with no more
-        traffic than before the build? Guards against a build that slows all units in step with its traffic.
-        Only the better half of the servers counts, so that a trouble of some machines does not, and a hundred
-        outcomes, so that a thin view sends nothing back. It could harm when traffic grows at other relays."""
+        """Has the better half of all units grown slow stage by stage, or far slower right at the release,
+        with no more trips than before? Guards against a build that slows all in step with its traffic. A
+        hundred outcomes, so that no thin view decides; another trouble of all units could mislead it."""
         released, age = news.phase is Phase.RELEASED, self.now - self._told
-        busier = self._rate.read(self.now) - self._shed.read(self.now) > 1.3 * self._calm_rate
+        busier = self._trips.read(self.now) > 1.3 * self._calm_rate
         if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
             return False
-        (faults, outcomes), before, last = self._slowness(), self._calm[0], self._calm[-1]
+        (faults, outcomes), before, last = self._scoring.slowness(self.now), self._calm[0], self._calm[-1]
         worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (last - before))
         return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
 
@@ -517,9 +512,11 @@
             return
         lane = trip.lookup.lane
         slow = Fault.SLOW if fate is Fate.TIMED_OUT or took > lane.expected_time else None
-        self._witness(server, lane, Fault.BROKEN if fate is Fate.ERROR else FAULTS.get(fate, slow), 1)
+        fault = Fault.BROKEN if fate is Fate.ERROR else FAULTS.get(fate, slow)
+        self._count(server, lane, {fault: 1} if fault else {}, 1, True)
         self._health.note(server, STRIKES.get(fate, 0.0), self._roster.ready, self.now)
         if fate is Fate.DONE:
+            self._exposure.done(server.build, trip.lookup)
             server.done.add(self.now, 1)
             server.pace.add(self.now, took / lane.expected_time)
 
@@ -533,9 +530,9 @@
     def _repeatable(self, server: Server, lookup: Lookup) -> bool:
         if lookup.over or len(lookup.trips) >= self._allowance.trips or self.now >= lookup.due:
             return False
-        if not self._allowance.second_copies and any(trip.fate is None for trip in lookup.trips):
-            return False
         lane, ran = lookup.lane, [trip for trip in lookup.trips if trip.fate not in NEVER_RAN]
+        if not self._allowance.second_copies and any(trip.fate is None for trip in ran):
+            return False
         if lane.repeat is not Repeat.RECEIPTED or not ran:
             return lane.repeat is Repeat.PURE or not ran
         zone, cell = ran[0].unit.zone == server.zone, ran[0].unit.cell == server.cell
@@ -543,13 +540,13 @@
         return group[lane.scope] and self.now < ran[0].sent + lane.memory - self._duties.tick
 
     def _learn_usual(self) -> None:
-        """While most units are cold the last figure holds: a warm few would seem to do the work of all."""
+        """While most units are cold the last figure holds: a warm few would seem to do it all."""
         warm = [s for s in self._roster.ready if self.now - s.since >= self._duties.cold_time]
         if warm and 2 * len(warm) >= len(self._roster.ready):
-            self._usual = sum(server.done.read(self.now) for server in warm) / 2 / len(warm)
+            done = sum(server.done.read(self.now) for server in warm)
+            self._usual = done / 2 / len(warm) if done > 1 else self._quota / len(self._roster.ready)
 
-    def _cost(self, server: Server) -> float:
-        """Ranks servers by the wait to expect there."""
+    def _cost(self, server: Server) -> float:  # the wait to expect there, as a rank
         now, trips = self.now, server.trips.read(self.now)
         load = (1 + len(server.out)) * (1 + server.pace.read(now)) / (1 + trips) / server.size
         # A unit that has gone silent answers nothing at all: its oldest trip tells.
@@ -558,22 +555,27 @@
         return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
 
     def _choose(self, lookup: Lookup) -> Server | None:
-        tried = [trip.unit for trip in lookup.trips]
-        pool = [server for server in self._roster.ready if self._permitted(server, lookup)]
-        pool = [server for server in pool if server not in tried] or pool
-        pool = [server for server in pool if server.aside <= self.now] or pool
-        pool = [server for server in pool if self._health.room(server, self.now)]
-        newest = max((server.build for server in pool), default=0)
-        new = self._two([server for server in pool if server.build == newest])
-        old = self._two([server for server in pool if server.build < newest])
+        allows, new = self._exposure.allows, None  # it is the build's to say: not asked a server
+        pools = [some for build, some in self._roster.groups.items() if allows(build, lookup, self.now)]
+        while pools and new is None:
+            new = self._two(pools.pop(0), lookup)
+        old = self._two([server for servers in pools for server in servers], lookup)
         if new is None or old is None:
-            return new or old
+            return new
         # Waiting for a good build has a price, so the exposure that the cap allows is used, unless in doubt.
         lean = 1 + 2 * self._poll.delay_price if self._margin <= 1 else 1
         return new if self._cost(new) <= self._cost(old) * lean else old
 
-    def _two(self, pool: Sequence[Server]) -> Server | None:
-        return min(self._chance.sample(pool, min(2, len(pool))), key=self._cost, default=None)
+    def _two(self, servers: Sequence[Server], lookup: Lookup) -> Server | None:
+        """The better of two random ones that may take it; of a large fleet only some are looked at."""
+        fresh, other = list[Server](), list[Server]()
+        for server in self._chance.sample(servers, min(SIGHT, len(servers))):
+            if self._health.room(server, self.now) and self._permitted(server, lookup):
+                tried = server.aside > self.now or any(trip.unit is server for trip in lookup.trips)
+                (other if tried else fresh).append(server)
+                if len(fresh) == 2:
+                    break
+        return min(fresh or other[:2], key=self._cost, default=None)
 
     def _journey(self, lookup: Lookup) -> Journey:
         """One lookup, from its taking to its final answer."""
@@ -611,8 +613,7 @@
         own, quota = self._callers[member].read(self.now), sum(some.quota for some in self._callers if some)
         others = sum(rate.read(self.now) for rate in self._callers.values()) - own
         fair = 1.5 * member.quota / max(0.1, quota - member.quota) * others
-        over = others > 1 and self._chance.random() * own > fair
-        return worth * self._over_share if over else worth
+        return worth * (self._over_share if others > 1 and self._chance.random() * own > fair else 1)
 
     def _relieve(self) -> None:
         """Room has come up: the waiting lookups that are worth most for their time go first."""
@@ -648,7 +649,6 @@
         advice = min(self._longest // 2, self._allowance.retry_advice * self._allowance.longest_advice)
         shed = all(trip.fate in NEVER_RAN for trip in lookup.trips)
         self.acts.append(Shed(lookup, advice) if shed else BreakOff(lookup))
-        self._shed.add(self.now, shed)
         self.left(lookup)
 
     def left(self, lookup: Lookup) -> None:
--- a/lanelead/sums.py
+++ b/lanelead/sums.py
@@ -1,12 +1,19 @@
-"""Plain sums: one that decays, and a rank. Nothing here decides."""
+"""Plain sums: one that decays, an exact account over a window, counts by the second, and a rank."""
 
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Sequence
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
 from math import exp
+from typing import Generic, TypeVar
 
-from lanelead.interface import Ticks
+from lanelead.interface import Lane, Ticks, Unit
+
+S = TypeVar("S", bound=Unit)
+F = TypeVar("F", bound=Enum)
 
 
 class Fading:
@@ -19,7 +26,8 @@
 
     def read(self, now: Ticks) -> float:
         if now > self._at:
-            self._sum *= exp((self._at - now) / self._span)
+            if self._sum:
+                self._sum *= exp((self._at - now) / self._span)
             self._at = now
         return self._sum
 
@@ -27,7 +35,72 @@
         self._sum = self.read(now) + amount
 
 
-def percentile(value: float, among: Sequence[float]) -> float:
-    """The part of the others that the value exceeds, those equal to it counted half."""
-    ordered = sorted(among)
+class Ledger:
+    """An exact account over a window: trips spent against credit earned. An entry is (time, trips - credit so
+    far) before a trip; the smallest one of the window tells how far any stretch up to now has gone."""
+
+    def __init__(self, window: Ticks) -> None:
+        self._window, self._stand = window, 0.0
+        self._low: deque[tuple[Ticks, float]] = deque()
+
+    def earn(self, credit: float) -> None:
+        self._stand -= credit
+
+    def least(self, now: Ticks) -> float:
+        """Credit less trips over the stretch for which that is least; 0 where none is below."""
+        while self._low and self._low[0][0] < now - self._window:
+            self._low.popleft()
+        return min(0.0, self._low[0][1] - self._stand) if self._low else 0.0
+
+    def spend(self, now: Ticks) -> None:
+        while self._low and self._low[-1][1] >= self._stand:
+            self._low.pop()
+        self._low.append((now, self._stand))
+        self._stand += 1
+
+
+def percentile(value: float, ordered: Sequence[float]) -> float:
+    """The part of the others, in rising order, that the value exceeds, those equal to it counted half."""
     return (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2 / max(1, len(ordered))
+
+
+@dataclass(slots=True, eq=False)
+class Window(Generic[S, F]):
+    """The outcomes of one lane at one server in a second, or in a few of them that are counted together."""
+
+    server: S
+    lane: Lane
+    build: int
+    start: Ticks
+    outcomes: int = 0
+    faults: dict[F, int] = field(default_factory=dict)
+
+    def add(self, outcomes: int, faults: Mapping[F, int]) -> None:
+        self.outcomes += outcomes
+        for fault, many in faults.items():
+            self.faults[fault] = self.faults.get(fault, 0) + many
+
+
+def pooled(windows: Iterable[Window[S, F]]) -> dict[Lane | None, Window[S, F]]:
+    """All windows as one of each lane, and one of all lanes."""
+    base: dict[Lane | None, Window[S, F]] = {}
+    for w in windows:
+        for lane in (w.lane, None):
+            base.setdefault(lane, Window(w.server, w.lane, w.build, w.start)).add(w.outcomes, w.faults)
+    return base
+
+
+def tally(windows: Iterable[Window[S, F]], fault: F) -> dict[S, tuple[int, int]]:
+    """Faults of a kind, and outcomes, by server."""
+    counts: dict[S, tuple[int, int]] = {}
+    for w in windows:
+        faults, many = counts.get(w.server, (0, 0))
+        counts[w.server] = faults + w.faults.get(fault, 0), many + w.outcomes
+    return counts
+
+
+def tamed(counts: Mapping[S, tuple[int, int]], keep: int) -> tuple[int, int]:
+    """Faults and outcomes over all, where no share counts for more than that of the place given."""
+    shares = sorted(faults / many for faults, many in counts.values())
+    top = shares[keep - 1] if keep else 0.0
+    return int(sum(min(f, top * n) for f, n in counts.values()) + 1e-6), sum(n for _, n in counts.values())
