A deviation of 200 outcomes at most, and time-outs apart from late answers: fewer false ways back

Cause: pooled from all relays, a window of a thousand outcomes made one stray error or complaint telling, and time-outs on connections dropped unseen passed for a fleet that a build slows. Also guards against any trouble that leaves units silent without slowing them; it harms with a build that errs in under one trip of a hundred.

--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import TextIO
 
@@ -11,7 +11,7 @@
 from lanelead.benchlink.wire import Malformed, millis
 from lanelead.interface import (
     BreakOff, CallOff, Close, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase,
-    Probe, Send, Shed, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
+    Probe, Send, Shed, Sighting, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
 )
 from lanelead.rules import Relay
 
@@ -188,6 +188,8 @@
     def drain(self, lines: list[str]) -> None:
         """Writes down what the decisions want done, in order."""
         acts = self.relay.acts
+        told: Sequence[Sighting] = ()  # many peers are told the same
+        texts: list[str] = []
         for act in acts:
             match act:
                 case Send(trip):
@@ -212,8 +214,10 @@
                 case Close(unit):
                     lines.append(f"FREE_LINKS {self.unit_ids[unit]}")
                 case Tell(peer, sightings):
-                    for text in wire.pack(sightings, [*self.lanes.values()]):
-                        lines.append(f"WRITE_PEER {-1 if peer is None else peer} {text.hex()}")
+                    if sightings is not told:
+                        texts = [text.hex() for text in wire.pack(sightings, [*self.lanes.values()])]
+                        told = sightings
+                    lines += [f"WRITE_PEER {-1 if peer is None else peer} {text}" for text in texts]
                 case Vote(build, stage, verdict):
                     lines.append(f"SAY_SO {build} {verdict.value} {stage}")
                 case Watch(on):
--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -133,7 +133,7 @@
     return {name: number(value) for name, value in zip(names, values, strict=True)}
 
 
-KINDS = 4  # kinds of fault in a sighting
+KINDS = 5  # kinds of fault in a sighting
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
 MESSAGE = 256  # the most bytes of one message between relays
 
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -22,6 +22,7 @@
 
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
+FULL = 200  # outcomes in the fullest window that a deviation is taken for
 CIRCLE = 6  # relays that tell each other directly, at most
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
@@ -160,17 +161,22 @@
 class Fault(Enum):
     BROKEN = 10.0  # errors: what a build does wrong whatever its server's load
     WRONG = 10.1  # answers that a client found wrong
-    SLOW = 1.0  # time-outs and late answers: a build's doing, or a neighbour's, or the load's
+    SLOW = 1.0  # late answers: a build's doing, or a neighbour's, or the load's
+    SILENT = 1.01  # time-outs: the same, or a connection's that was dropped unseen
     SHUT = 0.01  # turned away, unreachable, cut: the machine's doing or the load's, hardly ever the build's
+    __hash__ = object.__hash__  # they are looked up for every outcome told
 
 
 def z_score(faults: int, outcomes: int, mean: float) -> float:
-    """Earlier windows hold too few for the source's deviation: it is that of a window as full as this one."""
-    deviation = max(sqrt(mean * max(0.0, 1 - mean) / outcomes), 1 / outcomes)
+    """The deviation is that of a window as full as this one, as earlier ones hold too few; FULL at most, or
+    evidence pooled from all relays would find one stray error in a thousand telling."""
+    many = min(outcomes, FULL)
+    deviation = max(sqrt(mean * max(0.0, 1 - mean) / many), 1 / many)
     return (faults / outcomes - mean) / deviation
 
 
 FAULTS = dict.fromkeys((Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.CUT), Fault.SHUT)
+FAULTS |= {Fate.TIMED_OUT: Fault.SILENT, Fate.ERROR: Fault.BROKEN}
 STRIKES = {Fate.UNREACHABLE: 2.0, Fate.CUT: 1.0, Fate.ERROR: 1.0, Fate.TIMED_OUT: 1.0}
 HARD = (Fault.BROKEN, Fault.WRONG)
 
@@ -329,7 +335,7 @@
     def room(self, server: Server, now: Ticks) -> bool:
         """May a unit hold one more trip? As many as it lately did in six tenths of the expected time, and one
         to learn by. Guards against long queues, whatever fills them. Answers in bunches could mislead it."""
-        return len(server.out) < max(1.0, 1.2 * server.done.read(now) / (2 * SECOND) * self._target)
+        return not server.out or len(server.out) < 1.2 * server.done.read(now) / (2 * SECOND) * self._target
 
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
         """May a cold unit take one more? If each relay stays under a multiple of what a warm one does for it,
@@ -378,7 +384,7 @@
         self._roster, self._ballot = Roster(), Ballot(poll, chance)
         self._circle = Circle(place, poll.back_votes, chance)
         self._exposure = Exposure(trial, place.relays > CIRCLE, chance)
-        self._beat = SECOND // 5 if place.relays <= CIRCLE else SECOND // 2
+        self._beat = SECOND // (5 if place.relays <= CIRCLE else 2 if self._circle.watchers <= CIRCLE else 1)
         self._quota = sum(member.quota for member in members) / place.relays  # until it has seen better
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
@@ -388,7 +394,7 @@
         self._rate, self._copies, self._trips = (Fading(4 * SECOND) for _ in range(3))
         self._usual, self._margin, self._stage, self._told, self._doubt = 0.0, 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
-        self._tallied, self._untold = dict[int, Server](), dict[tuple[Server, Lane, int], Sighting]()
+        self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
         self.acts.append(Wake(now + int(self._beat * chance.uniform(0.5, 1)), None))
         self.acts += [Watch(True)] if duties.subscribe else []
 
@@ -461,26 +467,22 @@
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None:
         self._count(mine(unit), lane, {Fault.WRONG: 1}, 0, True)
 
-    def tally(self, counted: Tally) -> None:
-        source = self._tallied.setdefault(counted.build, Server(0, self._longest))
-        source.build, source.since = counted.build, self._told  # its gap is the stage's
-        self._scoring.record(source, counted.lane, {Fault.BROKEN: counted.lost}, self.now, counted.trips)
+    def tally(self, counted: Tally) -> None: ...
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         pass
 
     def _tick(self) -> None:
         self.acts.append(Wake(self.now + self._beat, None))
-        if self._untold:
-            self.acts += [Tell(peer, [*self._untold.values()]) for peer in self._circle.listeners()]
+        if told := [*self._untold.values()]:
+            self.acts += [Tell(peer, told) for peer in self._circle.listeners()]
             self._untold.clear()
         self._learn_usual()
         news, ready = self._exposure.news, self._roster.ready
         if news is None or not (new := self._roster.groups.get(news.build)):
             return
-        judged = [*ready, *self._tallied.values()]
-        self._margin, _ = self._scoring.read(judged, self.now)
-        lately = self._scoring.read(judged, self.now, 3 * SECOND)[1] if self._poll.hold_votes else 0.0
+        self._margin, _ = self._scoring.read(ready, self.now)
+        lately = self._scoring.read(ready, self.now, 3 * SECOND)[1] if self._poll.hold_votes else 0.0
         # Machines listed late start the clock late; while most are set aside, nothing is learnt.
         wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
@@ -511,8 +513,7 @@
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
             return
         lane = trip.lookup.lane
-        slow = Fault.SLOW if fate is Fate.TIMED_OUT or took > lane.expected_time else None
-        fault = Fault.BROKEN if fate is Fate.ERROR else FAULTS.get(fate, slow)
+        fault = FAULTS.get(fate, Fault.SLOW if took > lane.expected_time else None)
         self._count(server, lane, {fault: 1} if fault else {}, 1, True)
         self._health.note(server, STRIKES.get(fate, 0.0), self._roster.ready, self.now)
         if fate is Fate.DONE:
@@ -578,7 +579,6 @@
         return min(fresh or other[:2], key=self._cost, default=None)
 
     def _journey(self, lookup: Lookup) -> Journey:
-        """One lookup, from its taking to its final answer."""
         lane, worth = lookup.lane, self._worth(lookup)
         copy_at = lookup.taken + lane.expected_time // 2
         give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 6)
@@ -605,8 +605,8 @@
         self._give_up(lookup)
 
     def _worth(self, lookup: Lookup) -> float:
-        """Value for the time it takes. Guards against a member that floods the fleet: what exceeds its share,
-        held against what the others send through this relay, is the first to wait and to be shed."""
+        """Value for its time. What a member that floods the fleet sends over its share, held against what the
+        others send through this relay, is the first to wait and to be shed."""
         worth, member = lookup.lane.value / lookup.lane.expected_time, lookup.member
         if member is None:
             return worth
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -216,7 +216,7 @@
         host.run(SECOND)
         host.news(2, 0, Phase.TRIAL, 0.1)
         unit = host.listed(2, since=host.relay.now)
-        host.relay.heard(1, [Sighting(unit, PURE, 2, 10, [6, 0, 0, 0])])
+        host.relay.heard(1, [Sighting(unit, PURE, 2, 10, [6, 0, 0, 0, 0])])
         host.run(SECOND)
         self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.BACK])
 
