Thin views ask two servers for their queues before a trip

It now probes the two chosen and takes the first that is free. Also guards against silent and slow units; lost probes make it shed.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -15,9 +15,10 @@
 
 from lanelead.interface import (
     Act, Allowance, BreakOff, CallOff, Condition, Control, Coverage, Duties, Fate, Fetch, Lane, Listing,
-    Lookup, Member, News, Note, Phase, Place, Poll, Repeat, Report, Scope, Send, Shed, Sighting, Tally,
+    Lookup, Member, News, Note, Phase, Place, Poll, Probe, Repeat, Report, Scope, Send, Shed, Sighting, Tally,
     Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
+from lanelead.server import Server, mine
 from lanelead.sums import Fading, Ledger, Window, percentile, pooled, tally, tamed
 
 SECOND: Ticks = 10_000
@@ -27,29 +28,11 @@
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
-class Server(Unit):
-    """A unit as this relay knows it: what the roster says, and what its own trips have shown."""
-
-    def __init__(self, mark: int, span: Ticks, lot: float = 0.0) -> None:
-        super().__init__(mark)
-        self.out: dict[Trip, None] = {}  # trips without an end yet, oldest first
-        self.listed, self.aside = 0, 0  # when it was, and until when it is set aside
-        self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
-        self.done, self.cold_sends = Fading(2 * SECOND), deque[Ticks]()
-        self.lot = lot  # rounds its cold budget, up or down
-
-
-def mine(unit: Unit) -> Server:
-    assert isinstance(unit, Server)
-    return unit
-
-
 class Roster:
-    """The servers as last listed. Draining and gone ones leave `ready` the moment that they are told."""
+    """The servers as last listed, and the ready ones: all, and by build, the newest first."""
 
     def __init__(self) -> None:
-        self.known, self.ready = dict[Server, None](), list[Server]()
-        self.groups: dict[int, list[Server]] = {}  # by build, the newest first
+        self.known, self.ready, self.groups = dict[Server, None](), list[Server](), dict[int, list[Server]]()
 
     def apply(self, coverage: Coverage, listings: Iterable[Listing], now: Ticks) -> None:
         if coverage is not Coverage.CHANGES:
@@ -259,9 +242,8 @@
         return mean - sum(old) / max(1, len(old)) + self._whole(every, base.get(None), now), mean
 
     def _whole(self, blocks: list[View], base: View | None, now: Ticks) -> float:
-        """The same score for the trial build as a whole, less that of the earlier one: guards against a fault
-        spread too thinly for single servers. The worst quarter of them counts as the next best does, so that
-        a trouble of a few machines does not pass for one."""
+        """The same of the trial build as a whole, less the earlier: guards against faults spread too thinly
+        for one server. The worst quarter counts as the next best, or a trouble of few machines would do."""
         total, some_old = 0.0, any(block.build < self._trial for block in blocks)
         # With no earlier server left to compare with, slowness is as likely the load's doing.
         for fault in Fault if some_old else HARD:
@@ -282,9 +264,7 @@
         return tamed(counts, (len(counts) + 1) // 2)
 
 
-class Ballot:
-    """This relay's one vote: when to cast it, and when to cast it again."""
-
+class Ballot:  # this relay's one vote: when to cast it, and when again
     def __init__(self, poll: Poll, chance: Random) -> None:
         self._poll, self._chance = poll, chance
         self._cast: Vote | None = None
@@ -318,12 +298,10 @@
 
 
 class Health:
-    """Sets failing units aside, never more than half of the fleet, and counts what goes to a cold one."""
+    """Sets failing units aside, never most of the fleet, and counts what goes to a cold one."""
 
     def __init__(self, duties: Duties, target: Ticks, rest: Ticks, chance: Random) -> None:
-        self._share, self._time = duties.cold_share, duties.cold_time
-        self._multiple, self._fall = duties.fall_multiple, duties.fall_time
-        self._target, self._rest, self._chance = target, rest, chance
+        self._duties, self._target, self._rest, self._chance = duties, target, rest, chance
 
     def note(self, server: Server, strike: float, ready: Sequence[Server], now: Ticks) -> None:
         server.trips.add(now, 1)
@@ -340,18 +318,18 @@
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
         """May a cold unit take one more? If each relay stays under a multiple of what a warm one does for it,
         all do. Parts of a trip are rounded by lot: hundreds that each send just one would push it over."""
-        sends, age = server.cold_sends, now - server.since
-        while sends and sends[0] <= now - self._fall:
+        sends, age, duties = server.cold_sends, now - server.since, self._duties
+        while sends and sends[0] <= now - duties.fall_time:
             sends.popleft()
-        rise = self._share + (1 - self._share) * max(0, age) / max(1, self._time)
-        budget = self._multiple / 2 * rise * usual * self._fall / SECOND
-        return age >= self._time or server.since <= 0 or len(sends) + 1 <= budget + server.lot
+        rise = duties.cold_share + (1 - duties.cold_share) * max(0, age) / max(1, duties.cold_time)
+        budget = duties.fall_multiple / 2 * rise * usual * duties.fall_time / SECOND
+        return age >= duties.cold_time or server.since <= 0 or len(sends) + 1 <= budget + server.lot
 
 
 class Circle:
     """Who tells whom what it saw. In a small circle all tell all; in a large one each tells a hub drawn anew,
-    and the hubs the watchers, as many as can send a build back: the bytes grow with the traffic, not with
-    the square of the relays. Where messages are lost, each has its own view left."""
+    and the hubs the watchers, as many as can send a build back. It guards against bytes that grow with the
+    square of the relays; where messages are lost, each has its own view left."""
 
     def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
         self._number, self._chance = place.number, chance
@@ -391,15 +369,16 @@
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
+        self._asking: dict[Lookup, None] = {}  # those that wait for a probe
         self._rate, self._copies, self._trips = (Fading(4 * SECOND) for _ in range(3))
         self._usual, self._margin, self._stage, self._told, self._doubt = 0.0, 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
-        self.acts.append(Wake(now + int(self._beat * chance.uniform(0.5, 1)), None))
+        self.acts += [Wake(now + int(self._beat * chance.uniform(0.5, 1)), None)]
         self.acts += [Watch(True)] if duties.subscribe else []
 
     def meet(self, mark: int) -> Unit:
-        return Server(mark, 2 * self._longest, self._chance.random())
+        return Server(mark, 2 * self._longest, 2 * SECOND, self._chance.random())
 
     def roster(self, coverage: Coverage, listings: Sequence[Listing]) -> None:
         if coverage is Coverage.FAILED:
@@ -470,7 +449,11 @@
     def tally(self, counted: Tally) -> None: ...
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
-        pass
+        if fate is Fate.DONE and report:
+            mine(unit).told = self.now
+            mine(unit).wait = report.get("waiting", 0.0) / max(1.0, report.get("rps", 1.0))
+        for lookup in list(self._asking):
+            self._advance(lookup, None)
 
     def _tick(self) -> None:
         self.acts.append(Wake(self.now + self._beat, None))
@@ -489,8 +472,8 @@
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
         settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
-        # Guards against a thin view that releases what others doubt. Where most relays must stand for it,
-        # thin views must not block it: the watchers' way back guards. It could harm where traffic is rare.
+        # Guards against a thin view that releases what others doubt; where most relays must stand for it, the
+        # watchers' way back does, since thin views must not block it. It could harm where traffic is rare.
         knows = self._poll.on_votes > self._circle.watchers or self._scoring.seen >= 10
         ripe = settled and knows and not shut_out and (all_here or self.now - self._told >= 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
@@ -498,9 +481,8 @@
             self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _creeping(self, news: News) -> bool:
-        """Has the better half of all units grown slow stage by stage, or far slower right at the release,
-        with no more trips than before? Guards against a build that slows all in step with its traffic. A
-        hundred outcomes, so that no thin view decides; another trouble of all units could mislead it."""
+        """Has the better half of all units grown slow stage by stage, or far slower right at the release, but
+        not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
         released, age = news.phase is Phase.RELEASED, self.now - self._told
         busier = self._trips.read(self.now) > 1.3 * self._calm_rate
         if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
@@ -523,10 +505,9 @@
 
     def _permitted(self, server: Server, lookup: Lookup) -> bool:
         """The rules' guards, asked again right before each trip: no choice gets round them."""
-        if server.condition is not Condition.READY or not self._repeatable(server, lookup):
-            return False
-        room = self._health.cold_room(server, self._usual, self.now)
-        return room and self._exposure.allows(server.build, lookup, self.now)
+        kept = server.condition is Condition.READY and self._repeatable(server, lookup)
+        kept = kept and self._health.cold_room(server, self._usual, self.now)
+        return kept and self._exposure.allows(server.build, lookup, self.now)
 
     def _repeatable(self, server: Server, lookup: Lookup) -> bool:
         if lookup.over or len(lookup.trips) >= self._allowance.trips or self.now >= lookup.due:
@@ -555,20 +536,17 @@
         silent = (now - oldest.sent) / oldest.lookup.lane.expected_time if oldest else 0.0
         return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
 
-    def _choose(self, lookup: Lookup) -> Server | None:
-        allows, new = self._exposure.allows, None  # it is the build's to say: not asked a server
+    def _choose(self, lookup: Lookup) -> list[Server]:  # two random ones, the better first; or one, or none
+        allows, new = self._exposure.allows, list[Server]()  # it is the build's to say: not asked a server
         pools = [some for build, some in self._roster.groups.items() if allows(build, lookup, self.now)]
-        while pools and new is None:
+        while pools and not new:
             new = self._two(pools.pop(0), lookup)
         old = self._two([server for servers in pools for server in servers], lookup)
-        if new is None or old is None:
-            return new
         # Waiting for a good build has a price, so the exposure that the cap allows is used, unless in doubt.
         lean = 1 + 2 * self._poll.delay_price if self._margin <= 1 else 1
-        return new if self._cost(new) <= self._cost(old) * lean else old
+        return new if new and (not old or self._cost(new[0]) <= self._cost(old[0]) * lean) else old
 
-    def _two(self, servers: Sequence[Server], lookup: Lookup) -> Server | None:
-        """The better of two random ones that may take it; of a large fleet only some are looked at."""
+    def _two(self, servers: Sequence[Server], lookup: Lookup) -> list[Server]:
         fresh, other = list[Server](), list[Server]()
         for server in self._chance.sample(servers, min(SIGHT, len(servers))):
             if self._health.room(server, self.now) and self._permitted(server, lookup):
@@ -576,7 +554,19 @@
                 (other if tried else fresh).append(server)
                 if len(fresh) == 2:
                     break
-        return min(fresh or other[:2], key=self._cost, default=None)
+        return sorted(fresh or other[:2], key=self._cost)
+
+    def _ask(self, lookup: Lookup, pair: list[Server], until: Ticks) -> Generator[Ticks, None, Server | None]:
+        """Guards against thin views, which show no queues: asks the two how long they are, takes the first
+        that is free, or the shorter one; neither, while both keep it waiting. Lost probes make it shed."""
+        asked = self.now
+        self.acts += [Probe(server) for server in pair]
+        told = list[Server]()
+        while self.now < until and len(told) < len(pair) and all(server.wait for server in told):
+            self._asking[lookup] = None
+            yield until
+            told = [server for server in pair if server.told > asked]
+        return min(told, key=lambda server: server.wait, default=None)
 
     def _journey(self, lookup: Lookup) -> Journey:
         lane, worth = lookup.lane, self._worth(lookup)
@@ -584,7 +574,10 @@
         give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 6)
         while True:
             outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
-            server = None if outranked else self._choose(lookup)
+            pair = [] if outranked else self._choose(lookup)
+            server = next(iter(pair), None)
+            if len(pair) > 1 and self._thin() and self.now < give_up:
+                server = yield from self._ask(lookup, pair, give_up)
             if server is not None:
                 yield server
             elif self.now < give_up and not self._exposure.hopeless(lookup) and any(
@@ -598,12 +591,16 @@
                 yield copy_at if self.now < copy_at and self._allowance.second_copies else lookup.due
                 # Second copies stay a small part of the traffic: a slow fleet is not loaded further.
                 few = self._copies.read(self.now) < 0.1 * self._rate.read(self.now)
-                second = self._choose(lookup) if few and self.now >= copy_at else None
-                if second and lookup.trips[-1].fate is None and second is not lookup.trips[-1].unit:
+                pair = self._choose(lookup) if few and self.now >= copy_at else []
+                if pair and lookup.trips[-1].fate is None and pair[0] is not lookup.trips[-1].unit:
                     self._copies.add(self.now, 1)
-                    yield second
+                    yield pair[0]
         self._give_up(lookup)
 
+    def _thin(self) -> bool:  # less than a lookup for each server in an expected time
+        few = self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
+        return few and self._allowance.probes
+
     def _worth(self, lookup: Lookup) -> float:
         """Value for its time. What a member that floods the fleet sends over its share, held against what the
         others send through this relay, is the first to wait and to be shed."""
@@ -616,12 +613,11 @@
         return worth * (self._over_share if others > 1 and self._chance.random() * own > fair else 1)
 
     def _relieve(self) -> None:
-        """Room has come up: the waiting lookups that are worth most for their time go first."""
-        for lookup in sorted(self._waiting, key=lambda waiting: -self._waiting[waiting])[:3]:
+        for lookup in sorted(self._waiting, key=lambda waiting: -self._waiting[waiting])[:3]:  # worthy first
             self._advance(lookup, None)
 
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
-        for table in (self._resume, self._waiting):
+        for table in (self._resume, self._waiting, self._asking):
             table.pop(lookup, None)
         try:
             want = self._journeys[lookup].send(trip)
@@ -647,15 +643,15 @@
     def _give_up(self, lookup: Lookup) -> None:
         """A shed reply promises that nothing ran; without that promise the lookup is broken off."""
         advice = min(self._longest // 2, self._allowance.retry_advice * self._allowance.longest_advice)
-        shed = all(trip.fate in NEVER_RAN for trip in lookup.trips)
-        self.acts.append(Shed(lookup, advice) if shed else BreakOff(lookup))
+        ran = any(trip.fate not in NEVER_RAN for trip in lookup.trips)
+        self.acts.append(BreakOff(lookup) if ran else Shed(lookup, advice))
         self.left(lookup)
 
     def left(self, lookup: Lookup) -> None:
         if lookup.over:
             return
         lookup.over = True
-        for table in (self._journeys, self._waiting, self._resume):
+        for table in (self._journeys, self._waiting, self._resume, self._asking):
             table.pop(lookup, None)
         for trip in lookup.trips:
             if trip.fate is None and self._allowance.calling_off and not trip.streaming:
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -19,13 +19,13 @@
 class FakeHost:
     def __init__(
         self, units: int = 8, by_lane: bool = False, guarded: int = 0, keys_stay: bool = False,
-        control: Control = Control.FIRST_VOICE, copies: bool = True, now: Ticks = 0,
+        control: Control = Control.FIRST_VOICE, copies: bool = True, probes: bool = False, now: Ticks = 0,
     ) -> None:
         self.acts: list[Act] = []
         self.wakes: list[tuple[Ticks, Lookup | None]] = []
         self.relay = Relay(
             place=Place(0, 3, "z"), lanes=[PURE, RECEIPTED, EFFECTFUL], members=[],
-            allowance=Allowance(4, 1000, 100, True, True, True, copies, True, SECOND, SECOND // 4),
+            allowance=Allowance(4, 1000, 100, True, probes, True, copies, True, SECOND, SECOND // 4),
             duties=Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 3.0, SECOND, False, 0, 50),
             trial=Trial((0.1, 0.5, 1), (0.1, 0.5, 1), 3.0, 4 * SECOND, by_lane, guarded, keys_stay, False),
             poll=Poll(control, 1, 1, 1, SECOND, 0, SECOND, 6 * SECOND, 100.0, 0.5, 2.0, 0.0),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,9 +5,10 @@
 import unittest
 
 from lanelead.interface import (
-    BreakOff, Condition, Control, Fate, Lane, News, Phase, Send, Shed, Sighting, Verdict,
+    BreakOff, Condition, Control, Fate, Lane, News, Phase, Probe, Send, Shed, Sighting, Verdict,
 )
-from lanelead.rules import Fault, Scoring, View, mine, z_score
+from lanelead.rules import Fault, Scoring, View, z_score
+from lanelead.server import mine
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 
@@ -271,6 +272,21 @@
         host.end(host.sent(first)[0])
         self.assertEqual((len(host.sent(cheap)), len(host.sent(dear))), (0, 1))
 
+    def test_a_thin_view_asks_two_and_sheds_while_neither_answers(self) -> None:
+        # Incident i160e63: hundreds of relays that saw no queue drove a full fleet into answers all too late.
+        for answers, ending in ((True, []), (False, [Shed])):
+            host = FakeHost(probes=True)
+            lookup = host.ask(PURE)
+            asked = [act.unit for act in host.acts if isinstance(act, Probe)]
+            self.assertEqual((len(set(asked)), host.sent(lookup)), (2, []))
+            host.run(20)
+            if answers:
+                host.relay.probed(asked[1], Fate.DONE, 20, {"waiting": 0.0})
+                host.drain()
+            host.run(SECOND)
+            self.assertEqual({trip.unit for trip in host.sent(lookup)[:1]}, {asked[1]} if answers else set())
+            self.assertEqual([type(act) for act in host.finals(lookup)], ending)
+
     def test_failing_units_are_set_aside_never_most_and_come_back(self) -> None:
         host = FakeHost(units=4)
         for _ in range(40):
