Thin views ask two more servers while no short queue is known

Cause: of two busy servers neither answered in time, and a third of the lookups was shed on fleets that had room. Probes that answer beside the queue now tell by waiting over throughput; a deep one by its own time. Also guards against servers that report nothing of use. What a unit usually does is the relay's own rate of done trips over the fleet, so a warm few cannot pass for all.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -19,7 +19,7 @@
     Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
 from lanelead.server import Server, mine
-from lanelead.sums import Fading, Ledger, Window, percentile, pooled, tally, tamed
+from lanelead.sums import Fading, Ledger, Recent, Window, percentile, pooled, tally, tamed
 
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
@@ -72,7 +72,7 @@
     def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
         self._trial, self._many, self._chance = trial, many, chance
         self._ledgers, self._keys = dict[tuple[int, Lane | None], Purse](), dict[str, int]()
-        self._seen: dict[str, tuple[Ticks, Ticks]] = {}  # the last two times, the oldest key first
+        self._seen = Recent(2 * trial.window)
         self.news: News | None = None
 
     def hear(self, news: News) -> None:
@@ -102,10 +102,7 @@
         for build in filter(self.on_trial, builds):
             self._ledger(build, lookup.lane).earn(self._cap(build))
         if self._trial.keys_stay and lookup.key is not None:
-            last = self._seen.pop(lookup.key, (-self._trial.window * 2, -self._trial.window * 2))[1]
-            self._seen[lookup.key] = last, now
-            while self._seen[oldest := next(iter(self._seen))][1] < now - 2 * self._trial.window:
-                del self._seen[oldest]
+            self._seen.note(lookup.key, now)
 
     def _tie(self, lookup: Lookup) -> int:  # the build that has answered its key: no earlier one may
         return self._keys.get(lookup.key or "", -1)
@@ -127,7 +124,7 @@
             # A key that was here once is tied. Popular ones would soon use up the cap, and leave nothing for
             # lookups that may go nowhere else: they come last, as the cap grows.
             need, rare = 2.0, 2 * self._trial.window * (1 - cap)
-            if lookup.taken - self._seen[lookup.key][0] < rare:
+            if lookup.taken - self._seen.before(lookup.key) < rare:
                 return False
         purse = self._ledger(build, lookup.lane)
         return min(self._trial.free + purse.least(now), purse.held) >= need
@@ -288,13 +285,12 @@
         return True
 
     def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
-        if news.phase in (Phase.TRIAL, Phase.RELEASED) and (margin > 3 or (creep and ripe)):
+        trial = news.phase is Phase.TRIAL
+        if (trial or news.phase is Phase.RELEASED) and (margin > 3 or (creep and ripe)):
             return Verdict.BACK
-        if news.phase is not Phase.TRIAL:
-            return None
-        if self._poll.control is Control.AUTOMATIC:
+        if trial and self._poll.control is Control.AUTOMATIC:
             return Verdict.HOLD if lately > 3 else Verdict.NONE if self._cast else None
-        return Verdict.ON if ripe else None
+        return Verdict.ON if trial and ripe else None
 
 
 class Health:
@@ -316,8 +312,8 @@
         return not server.out or len(server.out) < 1.2 * server.done.read(now) / (2 * SECOND) * self._target
 
     def cold_room(self, server: Server, usual: float, now: Ticks) -> bool:
-        """May a cold unit take one more? If each relay stays under a multiple of what a warm one does for it,
-        all do. Parts of a trip are rounded by lot: hundreds that each send just one would push it over."""
+        """May a cold unit take one more? If each relay stays under a multiple of what a unit usually does for
+        it, all do. Parts of a trip go by lot: hundreds that each send just one would push it over."""
         sends, age, duties = server.cold_sends, now - server.since, self._duties
         while sends and sends[0] <= now - duties.fall_time:
             sends.popleft()
@@ -363,15 +359,15 @@
         self._circle = Circle(place, poll.back_votes, chance)
         self._exposure = Exposure(trial, place.relays > CIRCLE, chance)
         self._beat = SECOND // (5 if place.relays <= CIRCLE else 2 if self._circle.watchers <= CIRCLE else 1)
-        self._quota = sum(member.quota for member in members) / place.relays  # until it has seen better
+        self._quota = sum(member.quota for member in members) / place.relays
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
         self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._asking: dict[Lookup, None] = {}  # those that wait for a probe
-        self._rate, self._copies, self._trips = (Fading(4 * SECOND) for _ in range(3))
-        self._usual, self._margin, self._stage, self._told, self._doubt = 0.0, 0.0, (-1, 0), 0, 0
+        self._rate, self._copies, self._trips, self._done = (Fading(4 * SECOND) for _ in range(4))
+        self._margin, self._stage, self._told, self._doubt = 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
         self.acts += [Wake(now + int(self._beat * chance.uniform(0.5, 1)), None)]
@@ -419,7 +415,8 @@
             self.left(lookup)
         elif not lookup.over:
             self._advance(lookup, trip)
-        self._relieve()
+        for lookup in sorted(self._waiting, key=lambda waiting: -self._waiting[waiting])[:3]:  # worthy first
+            self._advance(lookup, None)
 
     def wake(self, lookup: Lookup | None) -> None:
         if lookup is None:
@@ -450,8 +447,8 @@
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         if fate is Fate.DONE and report:
-            mine(unit).told = self.now
-            mine(unit).wait = report.get("waiting", 0.0) / max(1.0, report.get("rps", 1.0))
+            mine(unit).told, drain = self.now, report.get("rps", 0.0)  # a deep probe has waited itself
+            mine(unit).wait = max(took, int(report.get("waiting", 0.0) * SECOND / drain) if drain else 0)
         for lookup in list(self._asking):
             self._advance(lookup, None)
 
@@ -460,7 +457,6 @@
         if told := [*self._untold.values()]:
             self.acts += [Tell(peer, told) for peer in self._circle.listeners()]
             self._untold.clear()
-        self._learn_usual()
         news, ready = self._exposure.news, self._roster.ready
         if news is None or not (new := self._roster.groups.get(news.build)):
             return
@@ -500,14 +496,19 @@
         self._health.note(server, STRIKES.get(fate, 0.0), self._roster.ready, self.now)
         if fate is Fate.DONE:
             self._exposure.done(server.build, trip.lookup)
-            server.done.add(self.now, 1)
+            for done in (server.done, self._done):
+                done.add(self.now, 1)
             server.pace.add(self.now, took / lane.expected_time)
 
     def _permitted(self, server: Server, lookup: Lookup) -> bool:
         """The rules' guards, asked again right before each trip: no choice gets round them."""
-        kept = server.condition is Condition.READY and self._repeatable(server, lookup)
-        kept = kept and self._health.cold_room(server, self._usual, self.now)
-        return kept and self._exposure.allows(server.build, lookup, self.now)
+        return self._open(server, lookup) and self._exposure.allows(server.build, lookup, self.now)
+
+    def _open(self, server: Server, lookup: Lookup) -> bool:
+        if server.condition is not Condition.READY or not self._repeatable(server, lookup):
+            return False
+        usual = max(self._done.read(self.now) / 4, self._quota / 2) / len(self._roster.ready)
+        return self._health.cold_room(server, usual, self.now)
 
     def _repeatable(self, server: Server, lookup: Lookup) -> bool:
         if lookup.over or len(lookup.trips) >= self._allowance.trips or self.now >= lookup.due:
@@ -521,13 +522,6 @@
         group = {Scope.ALL: True, Scope.ZONE: zone, Scope.CELL: cell}
         return group[lane.scope] and self.now < ran[0].sent + lane.memory - self._duties.tick
 
-    def _learn_usual(self) -> None:
-        """While most units are cold the last figure holds: a warm few would seem to do it all."""
-        warm = [s for s in self._roster.ready if self.now - s.since >= self._duties.cold_time]
-        if warm and 2 * len(warm) >= len(self._roster.ready):
-            done = sum(server.done.read(self.now) for server in warm)
-            self._usual = done / 2 / len(warm) if done > 1 else self._quota / len(self._roster.ready)
-
     def _cost(self, server: Server) -> float:  # the wait to expect there, as a rank
         now, trips = self.now, server.trips.read(self.now)
         load = (1 + len(server.out)) * (1 + server.pace.read(now)) / (1 + trips) / server.size
@@ -549,7 +543,7 @@
     def _two(self, servers: Sequence[Server], lookup: Lookup) -> list[Server]:
         fresh, other = list[Server](), list[Server]()
         for server in self._chance.sample(servers, min(SIGHT, len(servers))):
-            if self._health.room(server, self.now) and self._permitted(server, lookup):
+            if self._health.room(server, self.now) and self._open(server, lookup):
                 tried = server.aside > self.now or any(trip.unit is server for trip in lookup.trips)
                 (other if tried else fresh).append(server)
                 if len(fresh) == 2:
@@ -557,16 +551,23 @@
         return sorted(fresh or other[:2], key=self._cost)
 
     def _ask(self, lookup: Lookup, pair: list[Server], until: Ticks) -> Generator[Ticks, None, Server | None]:
-        """Guards against thin views, which show no queues: asks the two how long they are, takes the first
-        that is free, or the shorter one; neither, while both keep it waiting. Lost probes make it shed."""
-        asked = self.now
-        self.acts += [Probe(server) for server in pair]
-        told = list[Server]()
-        while self.now < until and len(told) < len(pair) and all(server.wait for server in told):
-            self._asking[lookup] = None
-            yield until
-            told = [server for server in pair if server.told > asked]
-        return min(told, key=lambda server: server.wait, default=None)
+        """Guards against thin views, which show no queues: asks two for theirs, and two more while no short
+        one is known of. With none at the end the fleet is full. Lost probes make it shed."""
+        asked, began, step = list[Server](), self.now, max(1, (until - self.now) // 3)
+        while self.now < until:
+            self.acts += [Probe(server) for server in pair if server not in asked]
+            asked += [server for server in pair if server not in asked]
+            pause, wait, best = min(until, self.now + step), 0, None
+            while self.now < pause and (best is None or wait > step):
+                self._asking[lookup] = None
+                yield pause
+                told = [server for server in asked if server.told > began and self._permitted(server, lookup)]
+                best = min(told, key=lambda server: server.wait, default=None)
+                wait = best.wait if best else 0
+            if best and wait < lookup.lane.expected_time // 4:
+                return best
+            pair = self._choose(lookup)
+        return None
 
     def _journey(self, lookup: Lookup) -> Journey:
         lane, worth = lookup.lane, self._worth(lookup)
@@ -612,10 +613,6 @@
         fair = 1.5 * member.quota / max(0.1, quota - member.quota) * others
         return worth * (self._over_share if others > 1 and self._chance.random() * own > fair else 1)
 
-    def _relieve(self) -> None:
-        for lookup in sorted(self._waiting, key=lambda waiting: -self._waiting[waiting])[:3]:  # worthy first
-            self._advance(lookup, None)
-
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
         for table in (self._resume, self._waiting, self._asking):
             table.pop(lookup, None)
--- a/lanelead/server.py
+++ b/lanelead/server.py
@@ -16,7 +16,7 @@
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
         self.done, self.cold_sends = Fading(done_span), deque[Ticks]()
         self.lot = lot  # rounds its cold budget, up or down
-        self.told, self.wait = -1, 0.0  # when it last answered a probe, and the wait that it told of
+        self.told, self.wait = -1, 0  # when it last answered a probe, and the wait that it told of
 
 
 def mine(unit: Unit) -> Server:
--- a/lanelead/sums.py
+++ b/lanelead/sums.py
@@ -35,6 +35,23 @@
         self._sum = self.read(now) + amount
 
 
+class Recent:
+    """When each key was last noted, and when before that; forgotten after a span."""
+
+    def __init__(self, span: Ticks) -> None:
+        self._span = span
+        self._times: dict[str, tuple[Ticks, Ticks]] = {}  # the oldest key first
+
+    def note(self, key: str, now: Ticks) -> None:
+        last = self._times.pop(key, (0, -self._span))[1]
+        self._times[key] = last, now
+        while self._times[oldest := next(iter(self._times))][1] < now - self._span:
+            del self._times[oldest]
+
+    def before(self, key: str) -> Ticks:
+        return self._times[key][0]
+
+
 class Ledger:
     """An exact account over a window: trips spent against credit earned. An entry is (time, trips - credit so
     far) before a trip; the smallest one of the window tells how far any stretch up to now has gone."""
