Trial servers get their own share of the traffic at most, in a large circle

Thick views see the queue and hold back, thin ones do not. It costs some speed of a good build's first stages.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -57,9 +57,9 @@
         super().__init__(window)
         self.held, self._depth = held, max(2.0, held)
 
-    def earn(self, share: float) -> None:
-        super().earn(share)
-        self.held = min(self.held + share, self._depth)
+    def gain(self, cap: float, share: float) -> None:
+        self.earn(cap)
+        self.held = min(self.held + min(cap, share), self._depth)
 
     def spend(self, now: Ticks) -> None:
         super().spend(now)
@@ -97,10 +97,13 @@
             self._ledgers[at] = Purse(self._trial.window, self._chance.random() if self._many else inf)
         return self._ledgers[at]
 
-    def take(self, lookup: Lookup, builds: Iterable[int], now: Ticks) -> None:
-        """A lookup taken earns its share of a trip at each build on trial."""
-        for build in filter(self.on_trial, builds):
-            self._ledger(build, lookup.lane).earn(self._cap(build))
+    def take(self, lookup: Lookup, groups: dict[int, list[Server]], now: Ticks) -> None:
+        """A lookup taken earns its share of a trip at each build on trial, and no more than its servers'.
+        Guards against a higher cap, which fills them up: thin views cannot tell that from a slow build."""
+        for build, servers in groups.items():
+            if self.on_trial(build):
+                share = len(servers) / max(1, sum(map(len, groups.values())) - len(servers))
+                self._ledger(build, lookup.lane).gain(self._cap(build), share)
         if self._trial.keys_stay and lookup.key is not None:
             self._seen.note(lookup.key, now)
 
@@ -274,8 +277,7 @@
             self._cast = None
             self._quiet = now + int(self._poll.answer_limit * self._chance.uniform(0.1, 0.5))
 
-    def cast(self, vote: Vote, now: Ticks) -> bool:
-        """True when the vote is due: it is new, or would lapse. A way back waits for nothing."""
+    def cast(self, vote: Vote, now: Ticks) -> bool:  # due when new or about to lapse; 'back' waits not
         fresh = vote != self._cast
         hurry = fresh and vote.verdict is Verdict.BACK
         if not hurry and now < (self._quiet if fresh else max(self._quiet, self._lapses)):
