Builds asked in vain come last; late lanes go in part; calm traffic is read at the first two stages

Kept with it: a member's lane that was seldom timely is sent in part, which replaces the over-share rule. Also guards against any work that waits whatever is done; it harms the seconds after a trouble.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -24,7 +24,7 @@
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
 FULL = 200  # outcomes in the fullest window that a deviation is taken for
-CIRCLE = 6  # relays that tell each other directly, at most
+CIRCLE = 8  # relays that tell each other directly, at most
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
@@ -50,9 +50,7 @@
         self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
 
 
-class Purse(Ledger):
-    """What a relay may send to one build on trial: what it holds, as far as the window leaves it."""
-
+class Purse(Ledger):  # what a relay may send to one build on trial, as far as the window leaves it
     def __init__(self, window: Ticks, held: float) -> None:
         super().__init__(window)
         self.held, self._depth = held, max(2.0, held)
@@ -355,7 +353,7 @@
     ) -> None:
         self.now, self.acts = now, list[Act]()
         self._allowance, self._duties, self._trial = allowance, duties, trial
-        self._poll, self._over_share, self._chance = poll, tariff.over_share, chance
+        self._poll, self._chance = poll, chance
         self._longest, least = (pick(lane.expected_time for lane in lanes) for pick in (max, min))
         self._roster, self._ballot = Roster(), Ballot(poll, chance)
         self._circle = Circle(place, poll.back_votes, chance)
@@ -365,7 +363,8 @@
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
         self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
-        self._callers = {member: Fading(4 * SECOND) for member in [*members, None]}
+        fares = [(member, lane) for member in [*members, None] for lane in lanes]
+        self._fares = {fare: (Fading(4 * SECOND), Fading(4 * SECOND)) for fare in fares}  # ended, and timely
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._asking: dict[Lookup, None] = {}  # those that wait for a probe
         self._rate, self._copies, self._trips, self._done = (Fading(4 * SECOND) for _ in range(4))
@@ -394,13 +393,12 @@
             self._stage = news.build, news.stage
             self._scoring.begin(news.build, self._told)
             faults, outcomes = self._scoring.slowness(self.now)
-            if news.stage == 0:
-                self._calm, self._calm_rate = [], self._trips.read(self.now)
+            if news.stage < 2:
+                self._calm, self._calm_rate = self._calm[: news.stage], self._trips.read(self.now)
             self._calm += [faults / outcomes] if outcomes and len(self._calm) == news.stage else []
 
     def take(self, lookup: Lookup) -> None:
         self._rate.add(self.now, 1)
-        self._callers[lookup.member].add(self.now, 1)
         self._exposure.take(lookup, self._roster.groups, self.now)
         self._journeys[lookup] = self._journey(lookup)
         self._advance(lookup, None)
@@ -494,6 +492,9 @@
             return
         lane = trip.lookup.lane
         fault = FAULTS.get(fate, Fault.SLOW if took > lane.expected_time else None)
+        ended, timely = self._fares[trip.lookup.member, lane]
+        ended.add(self.now, 1)
+        timely.add(self.now, fault in (None, *HARD))
         self._count(server, lane, {fault: 1} if fault else {}, 1, True)
         self._health.note(server, STRIKES.get(fate, 0.0), self._roster.ready, self.now)
         if fate is Fate.DONE:
@@ -532,20 +533,22 @@
         silent = (now - oldest.sent) / oldest.lookup.lane.expected_time if oldest else 0.0
         return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
 
-    def _choose(self, lookup: Lookup) -> list[Server]:  # two random ones, the better first; or one, or none
-        allows, new = self._exposure.allows, list[Server]()  # it is the build's to say: not asked a server
+    def _choose(self, lookup: Lookup, asked: Sequence[Server] = ()) -> list[Server]:
+        """Two random ones, the better first; or one, or none. Builds that were asked in vain come last."""
+        allows, new = self._exposure.allows, list[Server]()
         pools = [some for build, some in self._roster.groups.items() if allows(build, lookup, self.now)]
+        pools.sort(key=lambda servers: any(server in servers for server in asked))
         while pools and not new:
-            new = self._two(pools.pop(0), lookup)
-        old = self._two([server for servers in pools for server in servers], lookup)
+            new = self._two(pools.pop(0), lookup, asked)
+        old = self._two([server for servers in pools for server in servers], lookup, asked)
         # Waiting for a good build has a price, so the exposure that the cap allows is used, unless in doubt.
         lean = 1 + 2 * self._poll.delay_price if self._margin <= 1 else 1
         return new if new and (not old or self._cost(new[0]) <= self._cost(old[0]) * lean) else old
 
-    def _two(self, servers: Sequence[Server], lookup: Lookup) -> list[Server]:
+    def _two(self, servers: Sequence[Server], lookup: Lookup, asked: Sequence[Server]) -> list[Server]:
         fresh, other = list[Server](), list[Server]()
         for server in self._chance.sample(servers, min(SIGHT, len(servers))):
-            if self._health.room(server, self.now) and self._open(server, lookup):
+            if server not in asked and self._health.room(server, self.now) and self._open(server, lookup):
                 tried = server.aside > self.now or any(trip.unit is server for trip in lookup.trips)
                 (other if tried else fresh).append(server)
                 if len(fresh) == 2:
@@ -555,10 +558,10 @@
     def _ask(self, lookup: Lookup, pair: list[Server], until: Ticks) -> Generator[Ticks, None, Server | None]:
         """Guards against thin views, which show no queues: asks two for theirs, and two more while no short
         one is known of. With none at the end the fleet is full. Lost probes make it shed."""
-        asked, began, step = list[Server](), self.now, max(1, (until - self.now) // 3)
-        while self.now < until:
-            self.acts += [Probe(server) for server in pair if server not in asked]
-            asked += [server for server in pair if server not in asked]
+        asked, began, step = list[Server](), self.now, max(1, (until - self.now) // 2)
+        while self.now < until and pair:
+            self.acts += [Probe(server) for server in pair]
+            asked += pair
             pause, wait, best = min(until, self.now + step), 0, None
             while self.now < pause and (best is None or wait > step):
                 self._asking[lookup] = None
@@ -568,18 +571,18 @@
                 wait = best.wait if best else 0
             if best and wait < lookup.lane.expected_time // 4:
                 return best
-            pair = self._choose(lookup)
+            pair = self._choose(lookup, asked)
         return None
 
     def _journey(self, lookup: Lookup) -> Journey:
-        lane, worth = lookup.lane, self._worth(lookup)
+        lane, worth = lookup.lane, lookup.lane.value / lookup.lane.expected_time
         copy_at = lookup.taken + lane.expected_time // 2
         give_up = min(lookup.due - self._duties.tick, lookup.taken + lane.expected_time // 6)
-        while True:
+        while not self._forlorn(lookup):
             outranked = self.now < give_up and any(other > worth for other in self._waiting.values())
             pair = [] if outranked else self._choose(lookup)
             server = next(iter(pair), None)
-            if len(pair) > 1 and self._thin() and self.now < give_up:
+            if pair and self._thin() and self.now < give_up:
                 server = yield from self._ask(lookup, pair, give_up)
             if server is not None:
                 yield server
@@ -600,21 +603,17 @@
                     yield pair[0]
         self._give_up(lookup)
 
+    def _forlorn(self, lookup: Lookup) -> bool:
+        """Guards against work that is late whatever is done: a member's lane that was seldom timely of late
+        is sent in part, be the fleet full or the work one that waits. It harms the seconds after."""
+        ended, timely = (fare.read(self.now) for fare in self._fares[lookup.member, lookup.lane])
+        hope = 3 * (1 + timely) / (1 + ended)
+        return hope < 1 and self._chance.random() > hope
+
     def _thin(self) -> bool:  # less than a lookup for each server in an expected time
         few = self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
         return few and self._allowance.probes
 
-    def _worth(self, lookup: Lookup) -> float:
-        """Value for its time. What a member that floods the fleet sends over its share, held against what the
-        others send through this relay, is the first to wait and to be shed."""
-        worth, member = lookup.lane.value / lookup.lane.expected_time, lookup.member
-        if member is None:
-            return worth
-        own, quota = self._callers[member].read(self.now), sum(some.quota for some in self._callers if some)
-        others = sum(rate.read(self.now) for rate in self._callers.values()) - own
-        fair = 1.5 * member.quota / max(0.1, quota - member.quota) * others
-        return worth * (self._over_share if others > 1 and self._chance.random() * own > fair else 1)
-
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
         for table in (self._resume, self._waiting, self._asking):
             table.pop(lookup, None)
