--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -64,9 +64,7 @@
         self.held -= 1
 
 
-class Exposure:
-    """What may go to a build on trial: the cap, the guarded stages and the keys that stay."""
-
+class Exposure:  # what may go to a build on trial: the cap, the guarded stages and the keys that stay
     def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
         self._trial, self._many, self._chance = trial, many, chance
         self._ledgers, self._keys = dict[tuple[int, Lane | None], Purse](), dict[str, int]()
@@ -256,10 +254,10 @@
         return total
 
     def slowness(self, now: Ticks) -> tuple[int, int]:
-        """Slow answers and outcomes lately, at the better half of the servers, whatever their build."""
+        """Slow answers and outcomes lately, the worst quarter of the servers counted as the next best."""
         ready = (w for w in self._since(now - self._span) if w.server.condition is Condition.READY)
         counts = tally((w for w in ready if w.outcomes), Fault.SLOW)
-        return tamed(counts, (len(counts) + 1) // 2)
+        return tamed(counts, len(counts) - len(counts) // 4)
 
 
 class Ballot:  # this relay's one vote: when to cast it, and when again
@@ -293,9 +291,7 @@
         return Verdict.ON if trial and ripe else None
 
 
-class Health:
-    """Sets failing units aside, never most of the fleet, and counts what goes to a cold one."""
-
+class Health:  # sets failing units aside, never most of the fleet, and counts what goes to a cold one
     def __init__(self, duties: Duties, target: Ticks, rest: Ticks, chance: Random) -> None:
         self._duties, self._target, self._rest, self._chance = duties, target, rest, chance
 
@@ -367,7 +363,7 @@
         self._fares = {fare: (Fading(4 * SECOND), Fading(4 * SECOND)) for fare in fares}  # ended, and timely
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._asking: dict[Lookup, None] = {}  # those that wait for a probe
-        self._rate, self._copies, self._trips, self._done = (Fading(4 * SECOND) for _ in range(4))
+        self._rate, self._copies, self._trips, self._done, self._shed = (Fading(4 * SECOND) for _ in range(5))
         self._margin, self._stage, self._told, self._doubt = 0.0, (-1, 0), 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
@@ -477,15 +473,16 @@
             self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
 
     def _creeping(self, news: News) -> bool:
-        """Has the better half of all units grown slow stage by stage, or far slower right at the release, but
+        """Have most units grown slower since stage 1 than up to it, or far slower right at the release, but
         not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
         released, age = news.phase is Phase.RELEASED, self.now - self._told
         busier = self._trips.read(self.now) > 1.3 * self._calm_rate
         if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
             return False
-        (faults, outcomes), before, last = self._scoring.slowness(self.now), self._calm[0], self._calm[-1]
-        worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (last - before))
-        return outcomes >= 100 and faults > worse * outcomes and z_score(faults, outcomes, before) > 3
+        (slow, many), before, first = self._scoring.slowness(self.now), self._calm[0], self._calm[1]
+        slow += int(many * self._shed.read(self.now) / max(100, self._rate.read(self.now)))  # would have been
+        worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (first - before))
+        return many >= 100 and slow > worse * many and z_score(slow, many, before) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
@@ -639,10 +636,11 @@
         self.acts.append(Send(trip))
 
     def _give_up(self, lookup: Lookup) -> None:
-        """A shed reply promises that nothing ran; without that promise the lookup is broken off."""
+        # A shed reply promises that nothing ran; without that promise the lookup is broken off.
         advice = min(self._longest // 2, self._allowance.retry_advice * self._allowance.longest_advice)
         ran = any(trip.fate not in NEVER_RAN for trip in lookup.trips)
         self.acts.append(BreakOff(lookup) if ran else Shed(lookup, advice))
+        self._shed.add(self.now, not ran)
         self.left(lookup)
 
     def left(self, lookup: Lookup) -> None:
