No connection is kept while some are lost; probes only in a large circle

Once a fiftieth of the trips was lost, a relay closes what it does not use. Also guards against half-dead machines; it costs handshakes where trips are lost otherwise.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -14,12 +14,12 @@
 from random import Random
 
 from lanelead.interface import (
-    Act, Allowance, BreakOff, CallOff, Condition, Control, Coverage, Duties, Fate, Fetch, Lane, Listing,
-    Lookup, Member, News, Note, Phase, Place, Poll, Probe, Repeat, Report, Scope, Send, Shed, Sighting, Tally,
-    Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
+    Act, Allowance, BreakOff, CallOff, Close, Condition, Control, Coverage, Duties, Fate, Fetch, Lane,
+    Listing, Lookup, Member, News, Note, Phase, Place, Poll, Probe, Repeat, Report, Scope, Send, Shed,
+    Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
 from lanelead.server import Server, mine
-from lanelead.sums import Fading, Ledger, Recent, Window, percentile, pooled, tally, tamed
+from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed
 
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
@@ -50,20 +50,6 @@
         self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
 
 
-class Purse(Ledger):  # what a relay may send to one build on trial, as far as the window leaves it
-    def __init__(self, window: Ticks, held: float) -> None:
-        super().__init__(window)
-        self.held, self._depth = held, max(2.0, held)
-
-    def gain(self, cap: float, share: float) -> None:
-        self.earn(cap)
-        self.held = min(self.held + min(cap, share), self._depth)
-
-    def spend(self, now: Ticks) -> None:
-        super().spend(now)
-        self.held -= 1
-
-
 class Exposure:  # what may go to a build on trial: the cap, the guarded stages and the keys that stay
     def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
         self._trial, self._many, self._chance = trial, many, chance
@@ -90,7 +76,8 @@
         of what they take fills a purse, which outlasts the window. It slows a trial where traffic is rare."""
         at = build, lane if self._trial.by_lane else None
         if at not in self._ledgers:
-            self._ledgers[at] = Purse(self._trial.window, self._chance.random() if self._many else inf)
+            held, depth = (self._chance.random(), 2.0) if self._many else (inf, inf)
+            self._ledgers[at] = Purse(self._trial.window, held, depth)
         return self._ledgers[at]
 
     def take(self, lookup: Lookup, groups: dict[int, list[Server]], now: Ticks) -> None:
@@ -353,12 +340,13 @@
         self._longest, least = (pick(lane.expected_time for lane in lanes) for pick in (max, min))
         self._roster, self._ballot = Roster(), Ballot(poll, chance)
         self._circle = Circle(place, poll.back_votes, chance)
-        self._exposure = Exposure(trial, place.relays > CIRCLE, chance)
-        self._beat = SECOND // (5 if place.relays <= CIRCLE else 2 if self._circle.watchers <= CIRCLE else 1)
-        self._quota = sum(member.quota for member in members) / place.relays
+        self._many = place.relays > CIRCLE
+        self._exposure = Exposure(trial, self._many, chance)
+        self._beat = SECOND // (5 if not self._many else 2 if self._circle.watchers <= CIRCLE else 1)
+        self._quotas, self._relays = sum(member.quota for member in members), place.relays
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
-        self._waiting: dict[Lookup, float] = {}  # with what each is worth for its time
+        self._lost, self._waiting = Fading(10 * SECOND), dict[Lookup, float]()  # waiting: with its worth
         fares = [(member, lane) for member in [*members, None] for lane in lanes]
         self._fares = {fare: (Fading(4 * SECOND), Fading(4 * SECOND)) for fare in fares}  # ended, and timely
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
@@ -407,6 +395,8 @@
         lookup, server, trip.fate = trip.lookup, mine(trip.unit), fate
         server.out.pop(trip, None)
         self._learn(trip, server, fate, took)
+        self._lost.add(self.now, fate in (Fate.UNREACHABLE, Fate.TIMED_OUT, Fate.CUT))
+        self._let_go(server)
         if closed:
             self.left(lookup)
         elif not lookup.over:
@@ -443,10 +433,19 @@
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         if fate is Fate.DONE and report:
-            mine(unit).told, drain = self.now, report.get("rps", 0.0)  # a deep probe has waited itself
-            mine(unit).wait = max(took, int(report.get("waiting", 0.0) * SECOND / drain) if drain else 0)
+            mine(unit).told, fair = self.now, self._quotas / max(1, len(self._roster.ready))
+            queue = report.get("waiting", 0) / max(report["rps"], fair) if report.get("rps") else 0
+            mine(unit).wait = max(took, int(queue * SECOND))  # a deep probe has waited itself
+        self._lost.add(self.now, fate is Fate.UNREACHABLE)
         for lookup in list(self._asking):
             self._advance(lookup, None)
+        self._let_go(mine(unit))
+
+    def _let_go(self, server: Server) -> None:
+        """Guards against connections that are dropped unseen while idle, or of which few are granted: once a
+        fiftieth of the trips was lost, none is kept. It costs handshakes where trips are lost otherwise."""
+        if not server.out and self._lost.read(self.now) > 0.02 * self._rate.read(self.now):
+            self.acts.append(Close(server))
 
     def _tick(self) -> None:
         self.acts.append(Wake(self.now + self._beat, None))
@@ -500,14 +499,13 @@
                 done.add(self.now, 1)
             server.pace.add(self.now, took / lane.expected_time)
 
-    def _permitted(self, server: Server, lookup: Lookup) -> bool:
-        """The rules' guards, asked again right before each trip: no choice gets round them."""
+    def _permitted(self, server: Server, lookup: Lookup) -> bool:  # asked again right before each trip
         return self._open(server, lookup) and self._exposure.allows(server.build, lookup, self.now)
 
     def _open(self, server: Server, lookup: Lookup) -> bool:
         if server.condition is not Condition.READY or not self._repeatable(server, lookup):
             return False
-        usual = max(self._done.read(self.now) / 4, self._quota / 2) / len(self._roster.ready)
+        usual = max(self._done.read(self.now) / 4, self._quotas / self._relays / 2) / len(self._roster.ready)
         return self._health.cold_room(server, usual, self.now)
 
     def _repeatable(self, server: Server, lookup: Lookup) -> bool:
@@ -530,9 +528,8 @@
         silent = (now - oldest.sent) / oldest.lookup.lane.expected_time if oldest else 0.0
         return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
 
-    def _choose(self, lookup: Lookup, asked: Sequence[Server] = ()) -> list[Server]:
-        """Two random ones, the better first; or one, or none. Builds that were asked in vain come last."""
-        allows, new = self._exposure.allows, list[Server]()
+    def _choose(self, lookup: Lookup, asked: Sequence[Server] = ()) -> list[Server]:  # two, the better first
+        allows, new = self._exposure.allows, list[Server]()  # builds that were asked in vain come last
         pools = [some for build, some in self._roster.groups.items() if allows(build, lookup, self.now)]
         pools.sort(key=lambda servers: any(server in servers for server in asked))
         while pools and not new:
@@ -607,9 +604,9 @@
         hope = 3 * (1 + timely) / (1 + ended)
         return hope < 1 and self._chance.random() > hope
 
-    def _thin(self) -> bool:  # less than a lookup for each server in an expected time
+    def _thin(self) -> bool:  # one of many, with less than a lookup for each server in an expected time
         few = self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
-        return few and self._allowance.probes
+        return few and self._many and self._allowance.probes
 
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
         for table in (self._resume, self._waiting, self._asking):
--- a/lanelead/sums.py
+++ b/lanelead/sums.py
@@ -76,6 +76,22 @@
         self._stand += 1
 
 
+class Purse(Ledger):
+    """The same, with an amount held that outlasts the window, up to a depth."""
+
+    def __init__(self, window: Ticks, held: float, depth: float) -> None:
+        super().__init__(window)
+        self.held, self._depth = held, depth
+
+    def gain(self, cap: float, share: float) -> None:
+        self.earn(cap)
+        self.held = min(self.held + min(cap, share), self._depth)
+
+    def spend(self, now: Ticks) -> None:
+        super().spend(now)
+        self.held -= 1
+
+
 def percentile(value: float, ordered: Sequence[float]) -> float:
     """The part of the others, in rising order, that the value exceeds, those equal to it counted half."""
     return (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2 / max(1, len(ordered))
