--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -28,9 +28,7 @@
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
-class Roster:
-    """The servers as last listed, and the ready ones: all, and by build, the newest first."""
-
+class Roster:  # the servers as last listed, and the ready ones: all, and by build, the newest first
     def __init__(self) -> None:
         self.known, self.ready, self.groups = dict[Server, None](), list[Server](), dict[int, list[Server]]()
 
@@ -262,8 +260,8 @@
 
     def cast(self, vote: Vote, now: Ticks) -> bool:  # due when new or about to lapse; 'back' waits not
         fresh = vote != self._cast
-        hurry = fresh and vote.verdict is Verdict.BACK
-        if not hurry and now < (self._quiet if fresh else max(self._quiet, self._lapses)):
+        due = self._quiet if fresh else max(self._quiet, self._lapses)
+        if now < due and not (fresh and vote.verdict is Verdict.BACK):
             return False
         self._cast, self._lapses = vote, now + self._poll.vote_life * 3 // 4
         self._quiet = now + self._poll.answer_limit + SECOND
@@ -306,9 +304,8 @@
 
 
 class Circle:
-    """Who tells whom what it saw. In a small circle all tell all; in a large one each tells a hub drawn anew,
-    and the hubs the watchers, as many as can send a build back. It guards against bytes that grow with the
-    square of the relays; where messages are lost, each has its own view left."""
+    """Who tells whom what it saw: in a small circle all tell all; in a large one each tells a hub drawn anew,
+    and the hubs the watchers, as many as can send a build back. Guards against bytes by the square."""
 
     def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
         self._number, self._chance = place.number, chance
@@ -463,8 +460,7 @@
         shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
         settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
-        # Guards against a thin view that releases what others doubt; where most relays must stand for it, the
-        # watchers' way back does, since thin views must not block it. It could harm where traffic is rare.
+        # Guards against thin views that release what others doubt; where most must agree, watchers send back.
         knows = self._poll.on_votes > self._circle.watchers or self._scoring.seen >= 10
         ripe = settled and knows and not shut_out and (all_here or self.now - self._told >= 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
@@ -486,11 +482,13 @@
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
             return
-        lane = trip.lookup.lane
+        lane, (ended, timely) = trip.lookup.lane, self._fares[trip.lookup.member, trip.lookup.lane]
         fault = FAULTS.get(fate, Fault.SLOW if took > lane.expected_time else None)
-        ended, timely = self._fares[trip.lookup.member, lane]
         ended.add(self.now, 1)
         timely.add(self.now, fault in (None, *HARD))
+        # Guards against clients in haste: a time-out before the expected time is nobody's fault.
+        if fate is Fate.TIMED_OUT and took < lane.expected_time:
+            return
         self._count(server, lane, {fault: 1} if fault else {}, 1, True)
         self._health.note(server, STRIKES.get(fate, 0.0), self._roster.ready, self.now)
         if fate is Fate.DONE:
@@ -553,17 +551,18 @@
         """Guards against thin views, which show no queues: asks two for theirs, and two more while no short
         one is known of. With none at the end the fleet is full. Lost probes make it shed."""
         asked, began, step = list[Server](), self.now, max(1, (until - self.now) // 2)
+        short = min(lookup.lane.expected_time, lookup.due - self.now) // 4
         while self.now < until and pair:
             self.acts += [Probe(server) for server in pair]
             asked += pair
             pause, wait, best = min(until, self.now + step), 0, None
-            while self.now < pause and (best is None or wait > step):
+            while self.now < pause and (best is None or wait > min(step, short)):
                 self._asking[lookup] = None
                 yield pause
                 told = [server for server in asked if server.told > began and self._permitted(server, lookup)]
                 best = min(told, key=lambda server: server.wait, default=None)
                 wait = best.wait if best else 0
-            if best and wait < lookup.lane.expected_time // 4:
+            if best and wait < short:
                 return best
             pair = self._choose(lookup, asked)
         return None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,6 +308,15 @@
                 host.end(trip)
             self.assertEqual(sum(isinstance(act, Close) for act in host.acts), closes)
 
+    def test_a_client_in_haste_is_no_fault_of_a_server(self) -> None:
+        # rough-2 of kortfjell-prod, grown: one customer's short tries sent a good build back.
+        for took, silent in ((SECOND // 4, 0), (SECOND, 1)):
+            host = FakeHost()
+            host.run(6 * SECOND)
+            host.end(host.sent(host.ask(PURE, left=took))[0], Fate.TIMED_OUT, took)
+            windows = host.relay._scoring._windows
+            self.assertEqual(sum(Fault.SILENT in window.faults for window in windows), silent)
+
     def test_work_that_is_always_late_is_sent_in_part(self) -> None:
         # big-2 of kortfjell-prod, grown: one member's work waited at every unit, and held all places.
         for took, most, least in ((2 * SECOND, 70, 10), (1000, 100, 100)):
