--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -132,8 +132,7 @@
 
 
 def z_score(faults: int, outcomes: int, mean: float) -> float:
-    """The deviation is that of a window as full as this one, as earlier ones hold too few; FULL at most, or
-    evidence pooled from all relays would find one stray error in a thousand telling."""
+    # The deviation of a window as full as this one: earlier ones hold too few, and pooled ones far too many.
     many = min(outcomes, FULL)
     deviation = max(sqrt(mean * max(0.0, 1 - mean) / many), 1 / many)
     return (faults / outcomes - mean) / deviation
@@ -339,7 +338,8 @@
         self._circle = Circle(place, poll.back_votes, chance)
         self._many = place.relays > CIRCLE
         self._exposure = Exposure(trial, self._many, chance)
-        self._beat = SECOND // (5 if not self._many else 2 if self._circle.watchers <= CIRCLE else 1)
+        told = self._many and place.number < self._circle.watchers  # much is told to it: it looks less often
+        self._beat = SECOND // (5 if not told else 2 if self._circle.watchers <= CIRCLE else 1)
         self._quotas, self._relays = sum(member.quota for member in members), place.relays
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
