--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -416,7 +416,7 @@
         # One relay sees too few, so they are told; those at earlier servers too, which judged on less
         # evidence would hide a trouble of both builds.
         self._scoring.record(server, lane, faults, self.now, outcomes)
-        self._trips.add(self.now, outcomes)
+        self._trips.add(self.now, outcomes - faults.get(Fault.BROKEN, 0))  # quick errors keep nobody busy
         if tell and self._allowance.peers:
             at = server, lane, server.build
             seen = self._untold.setdefault(at, Sighting(*at, 0, [0] * len(Fault)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,6 +308,13 @@
                 host.end(trip)
             self.assertEqual(sum(isinstance(act, Close) for act in host.acts), closes)
 
+    def test_quick_errors_make_no_fleet_busier(self) -> None:
+        # A fresh day of sicilia-stazioni, grown: lookups that err anywhere hid a build that slows all.
+        host = FakeHost()
+        for faults, trips in (({}, 10), ({Fault.BROKEN: 10}, 10), ({Fault.SLOW: 10}, 20)):
+            host.relay._count(mine(host.units[0]), PURE, faults, 10, False)
+            self.assertEqual(host.relay._trips.read(0), trips)
+
     def test_a_client_in_haste_is_no_fault_of_a_server(self) -> None:
         # rough-2 of kortfjell-prod, grown: one customer's short tries sent a good build back.
         for took, silent in ((SECOND // 4, 0), (SECOND, 1)):
