A release is judged for 10 s, and by half the price of delay

Guards against any release that the fleet cannot carry; it harms where another trouble of all starts within those 10 s.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -472,11 +472,11 @@
         not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
         released, age = news.phase is Phase.RELEASED, self.now - self._told
         busier = self._trips.read(self.now) > 1.3 * self._calm_rate
-        if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 5 * SECOND):
+        if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 10 * SECOND):
             return False
         (slow, many), before, first = self._scoring.slowness(self.now), self._calm[0], self._calm[1]
         slow += int(many * self._shed.read(self.now) / max(100, self._rate.read(self.now)))  # would have been
-        worse = before + max(self._poll.delay_price / (1 if released else 4), 1.5 * (first - before))
+        worse = before + max(self._poll.delay_price / (2 if released else 4), 1.5 * (first - before))
         return many >= 100 and slow > worse * many and z_score(slow, many, before) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
