Id tables and the codec of peer messages stand once, for the bench and the relay to come

The relay on sockets needs the same tables from ids to objects and the same messages between relays as the bench adapter. Both move to lanelead/door.py; the adapter's acts do not change.

--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import TextIO
 
 from lanelead.benchlink import wire
 from lanelead.benchlink.wire import Malformed, millis
+from lanelead.door import Door, pack, unpack
 from lanelead.interface import (
     BreakOff, CallOff, Close, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase,
-    Probe, Send, Shed, Sighting, Tally, Tell, Ticks, Trip, Unit, Vote, Wake, Watch,
+    Probe, Send, Shed, Sighting, Tally, Tell, Ticks, Trip, Vote, Wake, Watch,
 )
 from lanelead.rules import Relay
 
@@ -39,22 +39,13 @@
         self.lanes = {lane.name: lane for lane in lanes}
         self.members = {member.name: member for member in members}
         self.gauges = opening.words("loadReport.names")
-        self.units: dict[str, Unit] = {}
-        self.unit_ids: dict[Unit, str] = {}
-        self.marks: dict[int, Unit] = {}
+        self.door = Door(self.relay.meet)
         self.lookups: dict[str, Lookup] = {}
         self.lookup_ids: dict[Lookup, str] = {}
         self.wakes: dict[int, Lookup | None] = {}
         self.tag = 0
         self.touched: list[Lookup] = []
 
-    def unit(self, name: str) -> Unit:
-        if name not in self.units:
-            unit = self.relay.meet(zlib.crc32(name.encode()) & 0xFFFF)
-            self.units[name] = self.marks[unit.mark] = unit
-            self.unit_ids[unit] = name
-        return self.units[name]
-
     def trip(self, msg: str, shot: str) -> Trip | None:
         """The trip that an event speaks of, or none when its lookup is long forgotten."""
         lookup = self.lookups.get(wire.ident(msg))
@@ -82,7 +73,7 @@
         for _, zone, cell, since, kind, name, build, size, condition in entries:
             listings.append(
                 Listing(
-                    unit=self.unit(name),
+                    unit=self.door.unit(name),
                     zone=zone,
                     cell=int(wire.number(cell)),
                     kind=kind,
@@ -115,8 +106,8 @@
         trip = self.trip(msg, shot)
         if trip is None:
             return
-        if self.unit_ids[trip.unit] != name:
-            raise Malformed(f"trip {shot} of lookup {msg} went to {self.unit_ids[trip.unit]}, not {name}")
+        if self.door.names[trip.unit] != name:
+            raise Malformed(f"trip {shot} of lookup {msg} went to {self.door.names[trip.unit]}, not {name}")
         fate = wire.known(wire.FATES, outcome)
         closed, load = wire.flag(finished), wire.report(gauge, self.gauges)
         self.relay.ended(trip, fate, closed, wire.ticks(took), load)
@@ -134,12 +125,12 @@
             self.touched.append(lookup)
 
     def heard(self, words: Words) -> None:
-        sightings = wire.unpack(wire.octets(words[2]), self.marks, [*self.lanes.values()])
+        sightings = unpack(wire.octets(words[2]), self.door.marks, [*self.lanes.values()])
         self.relay.heard(wire.whole(words[1]), sightings)
 
     def bad_answer(self, words: Words) -> None:
         lane = wire.known(self.lanes, words[2])
-        self.relay.complaint(self.unit(words[1]), lane, wire.ticks(words[3]))
+        self.relay.complaint(self.door.unit(words[1]), lane, wire.ticks(words[3]))
 
     def rollout_state(self, words: Words) -> None:
         _, image, tranche, course, code, outcome, exposure, age = words
@@ -172,7 +163,7 @@
     def probe_done(self, words: Words) -> None:
         _, name, outcome, took, gauge = words
         fate, load = wire.known(wire.FATES, outcome), wire.report(gauge, self.gauges)
-        self.relay.probed(self.unit(name), fate, wire.ticks(took), load)
+        self.relay.probed(self.door.unit(name), fate, wire.ticks(took), load)
 
     def elapsed(self, words: Words) -> None:
         tag = wire.whole(words[1])
@@ -193,7 +184,7 @@
         for act in acts:
             match act:
                 case Send(trip):
-                    ids = self.lookup_ids[trip.lookup], self.unit_ids[trip.unit]
+                    ids = self.lookup_ids[trip.lookup], self.door.names[trip.unit]
                     lines.append(f"CALL_OUT {ids[0]} {ids[1]} {millis(trip.limit)}")
                 case Wake(at, lookup):
                     self.tag += 1
@@ -210,12 +201,12 @@
                     if lookup_id is not None:
                         lines.append(f"RETRACT {lookup_id} {trip.number}")
                 case Probe(unit):
-                    lines.append(f"SAMPLE {self.unit_ids[unit]}")
+                    lines.append(f"SAMPLE {self.door.names[unit]}")
                 case Close(unit):
-                    lines.append(f"FREE_LINKS {self.unit_ids[unit]}")
+                    lines.append(f"FREE_LINKS {self.door.names[unit]}")
                 case Tell(peer, sightings):
                     if sightings is not told:
-                        texts = [text.hex() for text in wire.pack(sightings, [*self.lanes.values()])]
+                        texts = [text.hex() for text in pack(sightings, [*self.lanes.values()])]
                         told = sightings
                     lines += [f"WRITE_PEER {-1 if peer is None else peer} {text}" for text in texts]
                 case Vote(build, stage, verdict):
@@ -330,6 +321,3 @@
             lines.append(line)
     if lines:
         raise Malformed("the input ends inside a batch")
-
-
-
--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -5,12 +5,11 @@
 import math
 import re
 from collections.abc import Callable, Mapping, Sequence
-from struct import Struct
 from typing import TypeVar
 
 from lanelead.interface import (
     Allowance, Condition, Control, Coverage, Duties, Fate, Lane, Member, Place, Poll, Repeat, Report, Scope,
-    Sighting, Tariff, Ticks, Trial, Unit,
+    Tariff, Ticks, Trial,
 )
 
 T = TypeVar("T")
@@ -133,35 +132,6 @@
     return {name: number(value) for name, value in zip(names, values, strict=True)}
 
 
-KINDS = 5  # kinds of fault in a sighting
-ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
-MESSAGE = 256  # the most bytes of one message between relays
-
-
-def pack(sightings: Sequence[Sighting], lanes: Sequence[Lane]) -> list[bytes]:
-    """Sightings as messages of the allowed length."""
-    rows = [
-        ROW.pack(
-            seen.unit.mark, seen.build, lanes.index(seen.lane), min(seen.outcomes, 255),
-            *(min(many, 255) for many in seen.faults),
-        )
-        for seen in sightings
-    ]
-    step = MESSAGE // ROW.size
-    return [b"".join(rows[place : place + step]) for place in range(0, len(rows), step)]
-
-
-def unpack(text: bytes, units: Mapping[int, Unit], lanes: Sequence[Lane]) -> list[Sighting]:
-    """The sightings in a message; rows of units, builds or lanes unknown to this relay are passed over."""
-    rows = ROW.iter_unpack(text[: len(text) // ROW.size * ROW.size])
-    return [
-        Sighting(unit, lanes[lane], build, outcomes, faults)
-        for mark, build, lane, outcomes, *faults in rows
-        if (unit := units.get(mark)) and unit.build == build and lane < len(lanes)
-        and unit.condition is Condition.READY
-    ]
-
-
 def millis(time: Ticks) -> str:
     return f"{time / 10:.1f}"
 
