--- a/lanelead/__init__.py
+++ b/lanelead/__init__.py
@@ -1,1 +1,3 @@
-"""lanelead: relays that route lookups while builds are replaced, and vote each build on or back."""
+"""lanelead: a release controller with a router that moves traffic between builds."""
+
+VERSION = "0.2.0"
--- /dev/null
+++ b/lanelead/__main__.py
@@ -0,0 +1,3 @@
+from lanelead.cli import main
+
+main(prog_name="lanelead")
--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -10,8 +10,28 @@
 from lanelead.benchlink.wire import Malformed, millis
 from lanelead.door import Door, pack, unpack
 from lanelead.interface import (
-    BreakOff, CallOff, Close, Coverage, Decisions, Fetch, Listing, Lookup, News, Note, Phase,
-    Probe, Send, Shed, Sighting, Tally, Tell, Ticks, Trip, Vote, Wake, Watch,
+    BreakOff,
+    CallOff,
+    Close,
+    Coverage,
+    Decisions,
+    Fetch,
+    Listing,
+    Lookup,
+    News,
+    Note,
+    Phase,
+    Probe,
+    Send,
+    Shed,
+    Sighting,
+    Tally,
+    Tell,
+    Ticks,
+    Trip,
+    Vote,
+    Wake,
+    Watch,
 )
 from lanelead.rules import Relay
 
--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -8,8 +8,22 @@
 from typing import TypeVar
 
 from lanelead.interface import (
-    Allowance, Condition, Control, Coverage, Duties, Fate, Lane, Member, Place, Poll, Repeat, Report, Scope,
-    Tariff, Ticks, Trial,
+    Allowance,
+    Condition,
+    Control,
+    Coverage,
+    Duties,
+    Fate,
+    Lane,
+    Member,
+    Place,
+    Poll,
+    Repeat,
+    Report,
+    Scope,
+    Tariff,
+    Ticks,
+    Trial,
 )
 
 T = TypeVar("T")
--- /dev/null
+++ b/lanelead/days/commands.py
@@ -0,0 +1,108 @@
+"""`lanelead day`: list, play, judge and from-bench."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from importlib.resources import files
+from pathlib import Path
+
+import click
+import msgspec
+
+from lanelead.days.judge import Verdict, judge, report
+from lanelead.settings.cue import Unfit
+from lanelead.settings.read import read
+from lanelead.settings.records import Day
+from lanelead.standins.capture import BadCapture
+
+
+def scripts() -> dict[str, Path]:
+    """The days that come with lanelead, by name."""
+    folder = Path(str(files("lanelead.days").joinpath("scripts")))
+    return {path.stem: path for path in sorted(folder.glob("*.cue"))}
+
+
+def load(name: str) -> Day:
+    """A day by name or file. Raises Unfit, or click.BadParameter where there is none."""
+    path = scripts().get(name, Path(name))
+    if not path.exists():
+        raise click.BadParameter(f"no day {name}: there are {', '.join(scripts())}")
+    record = read(path)
+    if not isinstance(record, Day):
+        raise click.BadParameter(f"{path}: a relay, expected a day")
+    return record
+
+
+@click.group()
+def day() -> None:
+    """Plays scripted days on loopback, and judges the five rules from what passed on the sockets."""
+
+
+@day.command("list")
+def list_() -> None:
+    """The days that come with lanelead."""
+    for name, path in scripts().items():
+        record = read(path)
+        assert isinstance(record, Day)
+        click.echo(f"{name:18} {record.seconds:4g} s  {record.says}")
+
+
+@day.command()
+@click.argument("name")
+@click.option("--seed", type=click.IntRange(0), help="Another seed than the script's.")
+@click.option("--verdict", type=click.Path(dir_okay=False), help="Where the verdict is written, as JSON.")
+@click.option("--capture", type=click.Path(file_okay=False), help="Where the capture is kept.")
+@click.option(
+    "--seam",
+    type=click.Choice(["answers", "effects", "drains", "cold", "exposure"]),
+    help="Takes that guard out of the relays, to see the judge catch it.",
+)
+@click.option("--quiet", is_flag=True, help="Only the verdict.")
+def play(
+    name: str, seed: int | None, verdict: str | None, capture: str | None, seam: str | None, quiet: bool
+) -> None:
+    """Plays NAME, a day's name or file. Exits with 0: rules kept, 3: a rule broken, 2: bad input."""
+    import uvloop
+
+    from lanelead.days.play import Stage
+
+    try:
+        record = load(name)
+    except Unfit as unfit:
+        click.echo(str(unfit), err=True)
+        sys.exit(2)
+    if seam is not None:
+        record = msgspec.structs.replace(record, seam=seam)
+    with tempfile.TemporaryDirectory(prefix="lanelead-day-") as spare:
+        folder = Path(capture) if capture else Path(spare)
+        folder.mkdir(parents=True, exist_ok=True)
+        if any(folder.glob("*.ndjson")):
+            raise click.BadParameter(f"{folder} holds a capture already")
+
+        def say(text: str) -> None:
+            if not quiet:
+                click.echo(text)
+
+        uvloop.run(Stage(record, folder, record.seed if seed is None else seed, say).run())
+        end(folder, verdict)
+
+
+@day.command("judge")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--verdict", type=click.Path(dir_okay=False), help="Where the verdict is written, as JSON.")
+def judge_(folder: str, verdict: str | None) -> None:
+    """The verdict again, from a capture that was kept."""
+    end(Path(folder), verdict)
+
+
+def end(folder: Path, out: str | None) -> None:
+    try:
+        found: Verdict = judge(folder)
+    except BadCapture as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(2)
+    if out is not None:
+        Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=2) + b"\n")
+    click.echo(report(found))
+    sys.exit(0 if found.kept else 3)
--- /dev/null
+++ b/lanelead/days/fleet.py
@@ -0,0 +1,299 @@
+"""The processes of a day: units by place and build, relays, clients; started, ended and hurt as the script
+says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from lanelead.protocols.records import Row
+from lanelead.settings import records
+from lanelead.standins.capture import Tap, clock
+from lanelead.standins.roster import Roster
+from lanelead.standins.unit import Build, Life
+
+ENV = {**os.environ, "PYTHONHASHSEED": "0"}
+
+
+def free_ports(many: int, kind: int = socket.SOCK_STREAM) -> list[int]:
+    """Ports that were free a moment ago, all different."""
+    socks = [socket.socket(socket.AF_INET, kind) for _ in range(many)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class Process:
+    """One child. Only processes started here are ever signalled."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name, self.process = name, process
+
+    @classmethod
+    async def start(cls, name: str, errors: Path, *args: str) -> Process:
+        with errors.open("ab") as file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *args,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=file,
+                env=ENV,
+            )
+        return cls(name, process)
+
+    async def ready(self, limit: float = 30.0) -> str:
+        """The first line that it says. Raises RuntimeError where it says none in time."""
+        assert self.process.stdout is not None
+        try:
+            async with asyncio.timeout(limit):
+                line = await self.process.stdout.readline()
+        except TimeoutError:
+            line = b""
+        if not line:
+            raise RuntimeError(f"{self.name} did not start")
+        return line.decode().strip()
+
+    def order(self, **what: Any) -> None:
+        if self.alive and self.process.stdin is not None:
+            self.process.stdin.write(json.dumps(what).encode() + b"\n")
+
+    @property
+    def alive(self) -> bool:
+        return self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.alive:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def end(self, grace: float = 0.0) -> int:
+        """Waits for it for `grace` seconds, then kills it."""
+        try:
+            async with asyncio.timeout(max(grace, 0.01)):
+                await self.process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+        return self.process.returncode or 0
+
+
+class Machine:
+    """A place's machine: one process of one build, or none at the moment."""
+
+    def __init__(self, name: str, place: int, build: Build, port: int, zone: str) -> None:
+        self.name, self.place, self.build, self.port, self.zone = name, place, build, port, zone
+        self.process: Process | None = None
+        self.started = 0.0
+        self.wanted = True  # false once it drains or has been ended
+        self.hurt = False  # something is being done to it
+
+
+class Fleet:
+    def __init__(self, day: records.Day, folder: Path, seed: int, roster: Roster) -> None:
+        self._day, self._folder, self._roster = day, folder, roster
+        self._chance = Random(f"fleet {seed}")
+        self._seed = seed
+        self.tap = Tap(folder, "processes")
+        self.machines: dict[str, Machine] = {}
+        self.builds: dict[int, Build] = {1: Build(1)}
+        spread = day.units.speed_spread
+        self._speeds = [self._chance.uniform(1 - spread, 1 + spread) for _ in range(day.units.count)]
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._lives = 0
+
+    def task(self, what: Any) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Machines
+
+    def of(self, build: int) -> list[Machine]:
+        return [
+            machine for machine in self.machines.values() if machine.build.number == build and machine.wanted
+        ]
+
+    def running(self) -> list[Machine]:
+        return [
+            m for m in self.machines.values() if m.wanted and m.process and m.process.alive and not m.hurt
+        ]
+
+    async def start_build(self, number: int, places: list[int], cold: bool) -> None:
+        """Machines with a build on the places given, listed late; returns when all run."""
+        ports = free_ports(len(places))
+        fresh = []
+        for place, port in zip(places, ports, strict=True):
+            name = f"u{place:02d}b{number}"
+            zone = self._day.units.zones[place % len(self._day.units.zones)]
+            machine = self.machines[name] = Machine(name, place, self.builds[number], port, zone)
+            fresh.append(machine)
+        await asyncio.gather(*(self.start(machine, cold) for machine in fresh))
+
+    async def start(self, machine: Machine, cold: bool) -> None:
+        units, duties = self._day.units, self._day.service.duties
+        if cold:
+            await asyncio.sleep(units.boot_ms / 1000 * self._chance.uniform(0.5, 1.0))
+        self._lives += 1
+        life = Life(
+            name=machine.name,
+            folder=str(self._folder),
+            zone=machine.zone,
+            cell=machine.place // 4,
+            port=machine.port,
+            seed=self._seed * 1000 + self._lives,
+            cores=units.cores,
+            waiting_room=units.waiting_room,
+            connections=units.connections,
+            cold_share=units.cold_share,
+            cold=units.cold_ms / 1000 if cold else 0.0,
+            fall_multiple=duties.fall_multiple,
+            fall_time=duties.fall_ms / 1000,
+            memory={lane.name: lane.memory_ms / 1000 for lane in self._day.service.lanes if lane.memory_ms},
+            receipts={
+                lane.name: self._receipts(lane, machine) for lane in self._day.service.lanes if lane.memory_ms
+            },
+            report=units.report_ms / 1000,
+            errors=units.errors,
+            speed=self._speeds[machine.place],
+            build=machine.build,
+        )
+        text = msgspec.json.encode(life).decode()
+        machine.process = await Process.start(
+            machine.name, self._folder / "errors.log", "lanelead.standins.unit", text
+        )
+        await machine.process.ready()
+        machine.started, machine.wanted = clock(), True
+        self.tap.note("start", name=machine.name, pid=machine.process.process.pid, build=machine.build.number)
+        self.report(machine, "ready", cold)
+
+    def _receipts(self, lane: records.Lane, machine: Machine) -> str:
+        groups = {"all": "all", "zone": machine.zone, "cell": f"cell-{machine.place // 4}"}
+        folder = self._folder / "receipts" / lane.name / groups[lane.scope]
+        folder.mkdir(parents=True, exist_ok=True)
+        return str(folder)
+
+    def row(self, machine: Machine, condition: str, cold: bool = True) -> Row:
+        started = machine.started * 1000 if cold else None
+        return Row(
+            machine.name,
+            "127.0.0.1",
+            machine.port,
+            machine.zone,
+            machine.build.number,
+            condition,  # type: ignore[arg-type]
+            machine.place // 4,
+            "std",
+            started,
+        )
+
+    def report(self, machine: Machine, condition: str, cold: bool = True, late: float | None = None) -> None:
+        self._roster.see(self.row(machine, condition, cold), late)
+
+    async def drain(self, machine: Machine, last: float) -> None:
+        """Lists it as draining, lets it finish, then ends it."""
+        if not machine.wanted:
+            return
+        machine.wanted = False
+        self.tap.note("drain", name=machine.name)
+        self.report(machine, "draining", late=0.05)
+        await asyncio.sleep(self._day.service.duties.drain_grace_ms / 1000 + last)
+        await self.end(machine)
+
+    async def end(self, machine: Machine) -> None:
+        machine.wanted = False
+        if machine.process is not None:
+            machine.process.order(do="end")
+            await machine.process.end(2.0)
+        self.tap.note("end", name=machine.name)
+        self.report(machine, "gone", late=0.05)
+
+    # Troubles
+
+    def choose(self, many: int, unit: int | None) -> list[Machine]:
+        """Machines to hurt, never more than a third of those that run."""
+        running = sorted(self.running(), key=lambda machine: machine.name)
+        if unit is not None:
+            return [machine for machine in running if machine.place == unit]
+        return self._chance.sample(running, min(many, max(1, len(running) // 3), len(running)))
+
+    async def kill(self, machine: Machine, back: float) -> None:
+        """SIGKILL; it comes back cold at the same port after a time."""
+        machine.hurt = True
+        assert machine.process is not None
+        machine.process.signal(signal.SIGKILL)
+        self.tap.note("kill", name=machine.name)
+        await machine.process.end(5)
+        self.report(machine, "gone")
+        await asyncio.sleep(back)
+        if machine.wanted:
+            await self.start(machine, True)
+        machine.hurt = False
+
+    async def stop(self, machine: Machine, last: float) -> None:
+        """SIGSTOP: it goes silent; the roster, which knows of processes only, may take long to see it."""
+        machine.hurt = True
+        assert machine.process is not None
+        machine.process.signal(signal.SIGSTOP)
+        self.tap.note("stop", name=machine.name)
+        seen = self._day.roster.silent_ms / 1000
+        if last > seen:
+            asyncio.get_running_loop().call_later(seen, self.report, machine, "gone")
+        await asyncio.sleep(last)
+        machine.process.signal(signal.SIGCONT)
+        self.tap.note("cont", name=machine.name)
+        if last > seen and machine.wanted:
+            self.report(machine, "ready", False)
+        machine.hurt = False
+
+    async def fault(self, machine: Machine, kind: str, size: float, last: float) -> None:
+        machine.hurt = True
+        assert machine.process is not None
+        machine.process.order(do="fault", kind=kind, size=size)
+        await asyncio.sleep(last)
+        machine.process.order(do="mend", kind=kind)
+        machine.hurt = False
+
+    async def drain_and_return(self, machine: Machine, last: float) -> None:
+        """Upkeep: a unit drains, goes, and comes back cold."""
+        machine.hurt = True
+        machine.wanted = False
+        self.tap.note("drain", name=machine.name)
+        self.report(machine, "draining", late=0.05)
+        await asyncio.sleep(self._day.service.duties.drain_grace_ms / 1000 + 0.5)
+        await self.end(machine)
+        await asyncio.sleep(max(0.2, last - 3))
+        await self.start(machine, True)
+        machine.hurt = False
+
+    # Builds
+
+    def needed(self, stage: int) -> int:
+        return math.ceil(self._day.service.trial.shares[stage] * self._day.units.count - 1e-6)
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for machine in self.machines.values():
+            if machine.process is not None and machine.process.alive:
+                machine.process.signal(signal.SIGCONT)
+                machine.process.order(do="end")
+        await asyncio.gather(*(m.process.end(2.0) for m in self.machines.values() if m.process is not None))
--- /dev/null
+++ b/lanelead/days/play.py
@@ -0,0 +1,320 @@
+"""Plays a day: starts everything on loopback, follows the script, leaves a capture behind."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from lanelead.days.fleet import Fleet, Process, free_ports
+from lanelead.settings import records
+from lanelead.standins.capture import Tap, clock
+from lanelead.standins.clients import Crowd
+from lanelead.standins.desk import Desk
+from lanelead.standins.roster import Roster
+from lanelead.standins.unit import Build
+
+AT_CLIENTS = (
+    "burst",
+    "member_burst",
+    "hot_key",
+    "hot_caller",
+    "heavy_tail",
+    "haste",
+    "bad_requests",
+    "slow_lane",
+)
+
+
+class Post:
+    """Carries datagrams between relays, late, and loses some on demand."""
+
+    def __init__(self, chance: Random) -> None:
+        self._chance = chance
+        self.loss = 0.0
+        self._socks: list[socket.socket] = []
+
+    def box(self, receiver: int) -> int:
+        """A port of its own for one receiver; what comes there goes on to it."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        asyncio.get_running_loop().add_reader(sock, self._came, sock, ("127.0.0.1", receiver))
+        self._socks.append(sock)
+        return int(sock.getsockname()[1])
+
+    def _came(self, sock: socket.socket, to: tuple[str, int]) -> None:
+        while True:
+            try:
+                data = sock.recv(2048)
+            except OSError:
+                return
+            if self._chance.random() >= self.loss:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self._chance.uniform(0.002, 0.014), self._go, sock, data, to)
+
+    @staticmethod
+    def _go(sock: socket.socket, data: bytes, to: tuple[str, int]) -> None:
+        with contextlib.suppress(OSError):  # the receiver is gone: such messages may be lost
+            sock.sendto(data, to)
+
+    def close(self) -> None:
+        for sock in self._socks:
+            asyncio.get_running_loop().remove_reader(sock)
+            sock.close()
+
+
+class Stage:
+    """Everything of one day while it is played."""
+
+    def __init__(self, day: records.Day, folder: Path, seed: int, say: Callable[[str], None]) -> None:
+        self.day, self.folder, self.seed, self._say = day, folder, seed, say
+        self._chance = Random(f"day {seed}")
+        self.tap = Tap(folder, "conductor")
+        self.relays: dict[int, Process] = {}
+        self._files: dict[int, Path] = {}
+        self.clients: Process | None = None
+        self._began = 0.0
+
+    async def run(self) -> None:
+        day = self.day
+        (self.folder / "day.json").write_bytes(msgspec.json.encode(day))
+        ports = free_ports(2 + day.relays)
+        letters = free_ports(day.relays, socket.SOCK_DGRAM)
+        self.roster = Roster(self.folder, ports[0], day.roster.late_ms / 1000)
+        self.desk = Desk(
+            self.folder,
+            ports[1],
+            day.service.trial,
+            day.service.poll,
+            day.desk.told_ms / 1000,
+            day.desk.push_ms / 1000,
+            Random(f"desk {self.seed}"),
+            self._moved,
+        )
+        self.fleet = Fleet(day, self.folder, self.seed, self.roster)
+        self.post = Post(Random(f"post {self.seed}"))
+        await self.roster.open()
+        await self.desk.open()
+        try:
+            await self.fleet.start_build(1, list(range(day.units.count)), False)
+            for machine in self.fleet.machines.values():
+                self.roster.list_now(self.fleet.row(machine, "ready", False))
+            boxes = [self.post.box(port) for port in letters]
+            addresses = [("127.0.0.1", port) for port in ports[2:]]
+            for number in range(day.relays):
+                self._write(number, ports, letters, boxes)
+            await asyncio.gather(*(self.start_relay(number) for number in range(day.relays)))
+            crowd = Crowd(
+                str(self.folder),
+                self.seed,
+                day.seconds,
+                day.slack_ms / 1000,
+                day.service,
+                day.clients,
+                addresses,
+            )
+            self.clients = await Process.start(
+                "clients",
+                self.folder / "errors.log",
+                "lanelead.standins.clients",
+                msgspec.json.encode(crowd).decode(),
+            )
+            await self.clients.ready()
+            self._began = clock()
+            self.tap.note("begin", seconds=day.seconds, seed=self.seed)
+            script = [self._offers(), *(self._event(event) for event in day.events)]
+            for part in script:
+                self.fleet.task(part)
+            longest = max(lane.outer_limit_ms for lane in day.service.lanes) / 1000
+            await self.clients.end(day.seconds + longest + 2 * day.slack_ms / 1000 + 15)
+            self.tap.note("end")
+        finally:
+            await self._close()
+
+    async def _close(self) -> None:
+        for number, relay in self.relays.items():
+            if relay.alive:
+                self.tap.note("relay_term", relay=number)
+                relay.signal(signal.SIGTERM)
+        for number, relay in self.relays.items():
+            code = await relay.end(10)
+            self.tap.note("relay_exit", relay=number, code=code)
+        if self.clients is not None:
+            await self.clients.end(0.1)
+        await self.fleet.close()
+        self.post.close()
+        self.roster.shut()
+        self.desk.shut()
+
+    # Relays
+
+    def _write(self, number: int, ports: list[int], letters: list[int], boxes: list[int]) -> None:
+        day, host = self.day, "127.0.0.1"
+        zones = day.units.zones
+        feed = {"least_wait_ms": 50, "most_wait_ms": 500, "silence_ms": 3000}
+        settings = {
+            "relay": {
+                "number": number,
+                "relays": day.relays,
+                "zone": zones[number % len(zones)],
+                "seed": self.seed,
+                "listen": {"host": host, "port": ports[2 + number]},
+                "service": msgspec.to_builtins(day.service),
+                "roster": {"address": {"host": host, "port": ports[0]}, **feed},
+                "desk": {"address": {"host": host, "port": ports[1]}, **feed},
+                "peers": {
+                    "listen": {"host": host, "port": letters[number]},
+                    "others": [
+                        {"number": other, "host": host, "port": boxes[other]}
+                        for other in range(day.relays)
+                        if other != number
+                    ],
+                },
+            }
+        }
+        self._files[number] = self.folder / f"relay-{number}.cue"
+        self._files[number].write_bytes(msgspec.json.format(msgspec.json.encode(settings), indent=2))
+
+    async def start_relay(self, number: int) -> None:
+        file, errors = str(self._files[number]), self.folder / f"relay-{number}.log"
+        if self.day.seam is not None:
+            args = ["lanelead.standins.saboteur", self.day.seam, file]
+        else:
+            args = ["lanelead", "relay", "--settings", file]
+        relay = await Process.start(f"relay-{number}", errors, *args)
+        await relay.ready()
+        self.relays[number] = relay
+        self.tap.note("relay_start", relay=number, pid=relay.process.pid)
+
+    # Builds
+
+    async def _offers(self) -> None:
+        for number, offer in enumerate(self.day.desk.offers, 2):
+            await self._until(offer.at)
+            self.fleet.builds[number] = Build(number, offer.speed, offer.bad, offer.strength, offer.lane)
+            self.tap.note("offer", build=number, bad=offer.bad)
+            self._say(
+                f"{clock() - self._began:5.1f} s  build {number} is offered{' (bad)' if offer.bad else ''}"
+            )
+            self.desk.offer(number)
+
+    def _moved(self, build: int, stage: int, phase: str) -> None:
+        self._say(f"{clock() - self._began:5.1f} s  build {build}: {phase}, stage {stage}")
+        self.fleet.task(self._follow(build, stage, phase))
+
+    async def _follow(self, build: int, stage: int, phase: str) -> None:
+        """What the platform does when the desk has moved a build."""
+        fleet, count = self.fleet, self.day.units.count
+        if phase == "trial":
+            have = {machine.place for machine in fleet.of(build)}
+            places = [place for place in range(count) if place not in have][: fleet.needed(stage) - len(have)]
+            await fleet.start_build(build, places, True)
+            self.desk.machines_run(build, stage)
+            if self.day.service.trial.in_place:
+                new = set(places)
+                old = [
+                    m
+                    for m in fleet.machines.values()
+                    if m.wanted and m.build.number < build and m.place in new
+                ]
+                await asyncio.gather(*(fleet.drain(machine, 0.5) for machine in old))
+        elif phase == "released":
+            old = [
+                machine
+                for machine in fleet.machines.values()
+                if machine.wanted and machine.build.number < build
+            ]
+            await asyncio.gather(*(fleet.drain(machine, 0.5) for machine in old))
+        elif phase == "recall":
+            earlier = max(number for number in fleet.builds if number < build)
+            have = {machine.place for machine in fleet.of(earlier)}
+            await fleet.start_build(earlier, [place for place in range(count) if place not in have], True)
+            await asyncio.sleep(self.day.roster.late_ms / 1000 + 0.3)
+            self.desk.back()
+        elif phase == "reverting":
+            have = {m.place for m in fleet.machines.values() if m.wanted and m.build.number < build}
+            missing = [place for place in range(count) if place not in have]
+            if missing:
+                earlier = max(number for number in fleet.builds if number < build)
+                await fleet.start_build(earlier, missing, True)
+            await asyncio.gather(*(fleet.drain(machine, 0.2) for machine in fleet.of(build)))
+            self.desk.gone_back(build)
+
+    # Events
+
+    async def _until(self, at: float) -> None:
+        await asyncio.sleep(max(0.0, self._began + at - clock()))
+
+    async def _event(self, event: records.Event) -> None:
+        await self._until(event.at)
+        self.tap.note("event", kind=event.kind, for_=event.for_, size=event.size, count=event.count)
+        self._say(f"{clock() - self._began:5.1f} s  {event.kind}, for {event.for_:g} s")
+        fleet = self.fleet
+        acts: dict[str, Callable[[Any], Awaitable[None]]] = {
+            "kill": lambda machine: fleet.kill(machine, event.for_),
+            "stop": lambda machine: fleet.stop(machine, event.for_),
+            "drain": lambda machine: fleet.drain_and_return(machine, event.for_),
+        }
+        if event.kind in acts:
+            await asyncio.gather(*(acts[event.kind](m) for m in fleet.choose(event.count, event.unit)))
+        elif event.kind in AT_CLIENTS:
+            assert self.clients is not None
+            facts = {"kind": event.kind, "size": event.size, "member": event.member, "lane": event.lane}
+            self.clients.order(on=True, **facts)
+            await asyncio.sleep(event.for_)
+            self.clients.order(on=False, **facts)
+        elif event.kind in ("relay_kill", "relay_stop", "relay_roll"):
+            await self._relays(event)
+        elif event.kind == "roster_away":
+            self.roster.shut()
+            await asyncio.sleep(event.for_)
+            await self.roster.open()
+        elif event.kind == "desk_away":
+            self.desk.shut()
+            await asyncio.sleep(event.for_)
+            await self.desk.open()
+        elif event.kind == "desk_mute":
+            self.desk.mute = True
+            await asyncio.sleep(event.for_)
+            self.desk.mute = False
+        elif event.kind == "peers_lost":
+            self.post.loss = event.size
+            await asyncio.sleep(event.for_)
+            self.post.loss = 0.0
+        else:
+            kind = {"idle_reap": "drop_idle"}.get(event.kind, event.kind)
+            machines = fleet.choose(event.count, event.unit)
+            await asyncio.gather(
+                *(fleet.fault(machine, kind, event.size, event.for_) for machine in machines)
+            )
+
+    async def _relays(self, event: records.Event) -> None:
+        numbers = (
+            list(range(self.day.relays))
+            if event.kind == "relay_roll"
+            else [event.relay if event.relay is not None else self._chance.randrange(self.day.relays)]
+        )
+        for number in numbers:
+            relay = self.relays[number]
+            if event.kind == "relay_stop":
+                relay.signal(signal.SIGSTOP)
+                self.tap.note("relay_stop", relay=number)
+                await asyncio.sleep(event.for_)
+                relay.signal(signal.SIGCONT)
+                self.tap.note("relay_cont", relay=number)
+                continue
+            self.tap.note("relay_kill", relay=number)
+            relay.signal(signal.SIGKILL)
+            await relay.end(5)
+            await asyncio.sleep(event.for_ if event.kind == "relay_kill" else event.size)
+            await self.start_relay(number)
+            if event.kind == "relay_roll":
+                await asyncio.sleep(event.for_ / len(numbers))
--- a/lanelead/door.py
+++ b/lanelead/door.py
@@ -37,7 +37,10 @@
     """Sightings as messages of the allowed length."""
     rows = [
         ROW.pack(
-            seen.unit.mark, seen.build, lanes.index(seen.lane), min(seen.outcomes, 255),
+            seen.unit.mark,
+            seen.build,
+            lanes.index(seen.lane),
+            min(seen.outcomes, 255),
             *(min(many, 255) for many in seen.faults),
         )
         for seen in sightings
@@ -52,6 +55,8 @@
     return [
         Sighting(unit, lanes[lane], build, outcomes, faults)
         for mark, build, lane, outcomes, *faults in rows
-        if (unit := units.get(mark)) and unit.build == build and lane < len(lanes)
+        if (unit := units.get(mark))
+        and unit.build == build
+        and lane < len(lanes)
         and unit.condition is Condition.READY
     ]
--- /dev/null
+++ b/lanelead/logs.py
@@ -0,0 +1,24 @@
+"""Structured logs on structlog: JSON lines, or a console's."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import structlog
+
+
+def logger(form: str, **bound: Any) -> Any:
+    """A logger to standard error; `form` is json or console."""
+    last: Any = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer()
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            last,
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger(**bound)
--- /dev/null
+++ b/lanelead/protocols/__init__.py
@@ -0,0 +1,2 @@
+"""What passes between relays, the roster, the release desk, units and clients; docs/protocols.md has it in
+words."""
--- /dev/null
+++ b/lanelead/protocols/datagrams.py
@@ -0,0 +1,48 @@
+"""Messages between relays as UDP datagrams: a head with the sender's number, the payload, a CRC-32 of both.
+
+The payload is at most 256 bytes, as on the bench. A datagram that is too short or too long, of another
+version or another circle, or with a checksum that fails, is dropped: `open_` says why, for counting.
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+from struct import Struct
+
+from lanelead.door import MESSAGE
+
+HEAD = Struct(">4sHHI")  # magic with version, sender, length of the payload, count of the sender's datagrams
+MAGIC = b"LLP1"
+TAIL = Struct(">I")
+LARGEST = HEAD.size + MESSAGE + TAIL.size
+
+
+@dataclass(slots=True, frozen=True)
+class Letter:
+    sender: int
+    count: int
+    payload: bytes
+
+
+def seal(sender: int, count: int, payload: bytes) -> bytes:
+    if len(payload) > MESSAGE:
+        raise ValueError(f"{len(payload)} bytes, of {MESSAGE} at most")
+    body = HEAD.pack(MAGIC, sender, len(payload), count & 0xFFFFFFFF) + payload
+    return body + TAIL.pack(zlib.crc32(body))
+
+
+def open_(data: bytes, relays: int) -> Letter | str:
+    """The letter, or why it is none."""
+    if not HEAD.size + TAIL.size <= len(data) <= LARGEST:
+        return "length"
+    magic, sender, size, count = HEAD.unpack_from(data)
+    if magic != MAGIC:
+        return "version"
+    if size != len(data) - HEAD.size - TAIL.size:
+        return "length"
+    if TAIL.unpack(data[-TAIL.size :])[0] != zlib.crc32(data[: -TAIL.size]):
+        return "checksum"
+    if sender >= relays:
+        return "sender"
+    return Letter(sender, count, data[HEAD.size : -TAIL.size])
--- /dev/null
+++ b/lanelead/protocols/records.py
@@ -0,0 +1,104 @@
+"""The records of the feeds, as msgspec types: JSON objects, one a line where they come as a stream."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Whole = Annotated[int, Meta(ge=0, le=2**53)]
+Build = Annotated[int, Meta(ge=0, le=65535)]
+Positive = Annotated[float, Meta(ge=0, le=1e15)]
+T = TypeVar("T")
+LONGEST = 1 << 20  # bytes of one line
+
+
+class Malformed(Exception):
+    """What came is not such a record; the text says which field and why."""
+
+
+class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One unit, as the roster knows it. `started_ms` is on the roster's clock; null: long ago."""
+
+    unit: Name
+    host: Annotated[str, Meta(min_length=1, max_length=64)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    zone: Name
+    build: Build
+    condition: Literal["ready", "draining", "gone"]
+    cell: Whole = 0
+    kind: str = ""
+    started_ms: Positive | None = None
+    size: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
+
+
+class Listed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    coverage: Literal["full", "changes"]
+    version: Whole
+    clock_ms: Positive
+    units: Annotated[list[Row], Meta(max_length=20000)]
+
+
+class NewsLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    build: Build
+    stage: Annotated[int, Meta(ge=0, le=1000)]
+    phase: Literal["trial", "reverting", "released", "withdrawn"]
+    cap: Annotated[float, Meta(ge=0, le=1)]
+    age_ms: Positive
+
+
+class VoteAsk(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    relay: Whole
+    build: Build
+    stage: Annotated[int, Meta(ge=0, le=1000)]
+    verdict: Literal["none", "on", "hold", "back"]
+
+
+class VoteAnswer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    word: Literal["done", "moot", "overloaded", "failed"]
+    news: NewsLine
+
+
+class Complaint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    unit: Name
+    lane: Name
+    age_ms: Positive
+
+
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """A unit's load report, in an answer's Lanelead-Load field or to a probe."""
+
+    waiting: Positive | None = None
+    active: Positive | None = None
+    cpu: Positive | None = None
+    avg_ms: Positive | None = None
+    rps: Positive | None = None
+    err_rps: Positive | None = None
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Raises Malformed, with the field and what was expected of it."""
+    if len(data) > LONGEST:
+        raise Malformed(f"{len(data)} bytes, of {LONGEST} at most")
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        raise Malformed(str(fault)[:300]) from None
+
+
+encode = msgspec.json.encode
+
+
+class Lines:
+    """Cuts a stream into lines; raises Malformed at one that is too long."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > LONGEST:
+            raise Malformed(f"a line of over {LONGEST} bytes")
+        return [line for line in lines if line.strip()]
--- /dev/null
+++ b/lanelead/relay/driver.py
@@ -0,0 +1,378 @@
+"""Between the sockets and the decisions: feeds them events, carries out their acts, decides nothing itself.
+
+The driver knows no socket. What it wants done it asks of `Hands`, which must not call back from within a
+call; what happened, the hands tell it by the methods under 'Events'. Times are whole tenths of a
+millisecond on the driver's own clock, which `clock` reads.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+from typing import Protocol
+
+from lanelead.door import Door, pack, unpack
+from lanelead.http.answers import Answer
+from lanelead.http.asks import Ask
+from lanelead.interface import (
+    BreakOff,
+    CallOff,
+    Close,
+    Condition,
+    Coverage,
+    Decisions,
+    Duties,
+    Fate,
+    Fetch,
+    Lane,
+    Listing,
+    Lookup,
+    Member,
+    News,
+    Note,
+    Phase,
+    Probe,
+    Report,
+    Send,
+    Shed,
+    Sighting,
+    Tell,
+    Ticks,
+    Trip,
+    Unit,
+    Verdict,
+    Vote,
+    Wake,
+    Watch,
+)
+from lanelead.protocols.records import Listed, NewsLine
+
+WORDS = {"done": Fate.DONE, "moot": Fate.UNSENT, "overloaded": Fate.TURNED_AWAY, "failed": Fate.ERROR}
+PHASES = {phase.name.lower(): phase for phase in Phase}
+
+
+class Outcome(Enum):
+    """A lookup's final answer, as the client is told."""
+
+    DONE = "done"
+    SHED = "shed"
+    BROKEN_OFF = "broken-off"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A lookup at the door: what was asked, and to whom the answer goes."""
+
+    ident: str
+    ask: Ask
+    reply: Callable[[Ticket, Outcome, Trip | None, Answer | None, Ticks], None]
+    lookup: Lookup | None = None
+    answered: bool = False
+    late: bool = False  # its last trip ran out of time: 504, not 502
+
+
+@dataclass(slots=True, frozen=True)
+class Destination:
+    """Where a unit listens, and which life of it was meant: it may come back with another build."""
+
+    host: str
+    port: int
+    build: int
+    since: Ticks
+
+
+class Hands(Protocol):
+    """What the driver has done for it. None of these may call the driver back before it returns."""
+
+    def send(self, trip: Trip, ticket: Ticket) -> None: ...
+    def abandon(self, trip: Trip) -> bool:
+        """Waits no longer for a trip; says whether any byte of it may have been written."""
+        ...
+
+    def probe(self, unit: Unit) -> None: ...
+    def close(self, unit: Unit) -> None: ...
+    def tell(self, peer: int | None, payloads: Sequence[bytes]) -> None: ...
+    def vote(self, vote: Vote) -> None: ...
+    def watch(self, on: bool) -> None: ...
+    def fetch(self) -> None: ...
+    def note(self, text: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Counts:
+    """What happened since the start."""
+
+    taken: int = 0
+    done: int = 0
+    shed: int = 0
+    broken_off: int = 0
+    left: int = 0
+    at_the_door: int = 0  # shed before they were taken: the allowance was used up
+    trips: int = 0
+    fates: dict[Fate, int] = field(default_factory=dict)
+
+
+class Driver:
+    def __init__(
+        self,
+        decisions: Decisions,
+        hands: Hands,
+        clock: Callable[[], Ticks],
+        lanes: Sequence[Lane],
+        duties: Duties,
+        open_lookups: int,
+        longest_advice: Ticks,
+    ) -> None:
+        self.decisions, self._hands, self._clock = decisions, hands, clock
+        self.lanes = {lane.name: lane for lane in lanes}
+        self._order, self._duties = list(lanes), duties
+        self._most_open, self._advice = open_lookups, longest_advice
+        self.door = Door(decisions.meet)
+        self.places: dict[Unit, Destination] = {}
+        self.tickets: dict[Lookup, Ticket] = {}
+        self.counts = Counts()
+        self._timers: list[tuple[Ticks, int, Lookup | Trip | None]] = []
+        self._number = 0
+        self._soon: deque[tuple[Trip, Fate]] = deque()
+        self._listed = False
+        self._carrying = False
+        self._carry()
+
+    # Events
+
+    def take(self, ticket: Ticket, lane: Lane, member: Member | None, key: str | None, left: Ticks) -> None:
+        """A client's lookup; `left` is the time that its client still waits. Its answer comes by
+        `ticket.reply`."""
+        now = self._now()
+        if len(self.tickets) >= self._most_open or left <= 0:
+            self.counts.at_the_door += 1
+            ticket.answered = True
+            ticket.reply(ticket, Outcome.SHED, None, None, self._advice)
+            return
+        lookup = Lookup(lane, member, key, now, now + left)
+        ticket.lookup, self.tickets[lookup] = lookup, ticket
+        self.counts.taken += 1
+        self.decisions.take(lookup)
+        self._carry()
+
+    def left(self, ticket: Ticket) -> None:
+        """The client has gone: no answer is owed."""
+        if ticket.answered or ticket.lookup is None:
+            return
+        ticket.answered = True
+        self.counts.left += 1
+        self._now()
+        self.tickets.pop(ticket.lookup, None)
+        self.decisions.left(ticket.lookup)
+        self._carry()
+
+    def ended(
+        self, trip: Trip, fate: Fate, answer: Answer | None = None, report: Report | None = None
+    ) -> None:
+        """How a trip ended. Only the first word on it counts."""
+        if trip.fate is not None:
+            return
+        now, lookup = self._now(), trip.lookup
+        ticket = self.tickets.get(lookup)
+        # Guards against a relay that stood still: what it finds on its sockets then is too late for the
+        # client.
+        if fate is Fate.DONE and ticket and not lookup.over and now > lookup.due + self._duties.answer_slack:
+            fate = Fate.TIMED_OUT
+        closed = fate is Fate.DONE
+        if ticket is not None:
+            ticket.late = fate is Fate.TIMED_OUT
+            if closed and not ticket.answered:
+                self._answer(ticket, Outcome.DONE, trip, answer, 0)
+        self.counts.fates[fate] = self.counts.fates.get(fate, 0) + 1
+        self.decisions.ended(trip, fate, closed, now - trip.sent, report)
+        self._carry()
+
+    def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
+        self._now()
+        self.decisions.probed(unit, fate, took, report)
+        self._carry()
+
+    def listed(self, listed: Listed, offset: Ticks) -> None:
+        """The roster's word. `offset` is what its clock lacks of ours, fixed for as long as one stream
+        lasts."""
+        self._now()
+        listings = []
+        for row in listed.units:
+            unit = self.door.unit(row.unit)
+            since = 0
+            if row.started_ms is not None:
+                since = max(1, int(row.started_ms * 10) + offset)
+                old = self.places.get(unit)
+                # The same life of a unit keeps its time of start, though another stream reads clocks anew.
+                if old and old.build == row.build and old.since and abs(old.since - since) < 1000:
+                    since = old.since
+            self.places[unit] = Destination(row.host, row.port, row.build, since)
+            condition = Condition(row.condition)
+            listings.append(
+                Listing(unit, row.zone, row.cell, row.kind, since, row.build, row.size, condition)
+            )
+        coverage = Coverage.FULL if listed.coverage == "full" else Coverage.CHANGES
+        if not self._listed:
+            coverage, self._listed = Coverage.CACHED, True
+        self.decisions.roster(coverage, listings)
+        self._carry()
+
+    def roster_failed(self) -> None:
+        self._now()
+        self.decisions.roster(Coverage.FAILED, [])
+        self._carry()
+
+    def news(self, line: NewsLine | None, answer: bool, word: Fate) -> None:
+        """The desk's news, or its answer to a vote; no line where the answer never came."""
+        self._now()
+        if line is None:
+            news = News(0, 0, Phase.TRIAL, 0.0, 0, True, word)
+        else:
+            age = int(line.age_ms * 10)
+            news = News(line.build, line.stage, PHASES[line.phase], line.cap, age, answer, word)
+        self.decisions.news(news)
+        self._carry()
+
+    def heard(self, peer: int, payload: bytes) -> None:
+        self._now()
+        self.decisions.heard(peer, unpack(payload, self.door.marks, self._order))
+        self._carry()
+
+    def complaint(self, name: str, lane: Lane, age: Ticks) -> bool:
+        """A client found an answer wrong; false where the unit was never listed."""
+        if name not in self.door.units:
+            return False
+        self._now()
+        self.decisions.complaint(self.door.units[name], lane, age)
+        self._carry()
+        return True
+
+    def still_meant(self, trip: Trip) -> Destination | None:
+        """Where a trip may go, asked right before its first byte: nowhere once its unit drains, is gone, or
+        is another life than the one that was chosen. Guards rules 3 to 5 while a trip waits for a
+        connection."""
+        place = self.places.get(trip.unit)
+        if place is None or trip.unit.condition is not Condition.READY or trip.lookup.over:
+            return None
+        return place
+
+    def tick(self) -> None:
+        """Handles all timers that have fallen due."""
+        now = self._now()
+        while self._timers and self._timers[0][0] <= now:
+            due = heappop(self._timers)[2]
+            if isinstance(due, Trip):
+                if due.fate is None:
+                    self._soon.append((due, Fate.TIMED_OUT))
+            elif due is None or not due.over:
+                self.decisions.wake(due)
+            self._carry()
+
+    def due(self) -> Ticks | None:
+        """When `tick` must be called next."""
+        while self._timers:
+            what = self._timers[0][2]
+            stale = what.fate is not None if isinstance(what, Trip) else what is not None and what.over
+            if not stale:
+                return self._timers[0][0]
+            heappop(self._timers)
+        return None
+
+    # Acts
+
+    def _now(self) -> Ticks:
+        self.decisions.now = now = max(self.decisions.now, self._clock())
+        return now
+
+    def _at(self, when: Ticks, what: Lookup | Trip | None) -> None:
+        self._number += 1
+        heappush(self._timers, (when, self._number, what))
+
+    def _answer(
+        self, ticket: Ticket, outcome: Outcome, trip: Trip | None, answer: Answer | None, come_back: Ticks
+    ) -> None:
+        if ticket.answered:  # exactly one final answer, whoever asks for another
+            return
+        ticket.answered = True
+        if ticket.lookup is not None:
+            self.tickets.pop(ticket.lookup, None)
+        match outcome:
+            case Outcome.DONE:
+                self.counts.done += 1
+            case Outcome.SHED:
+                self.counts.shed += 1
+            case Outcome.BROKEN_OFF:
+                self.counts.broken_off += 1
+        ticket.reply(ticket, outcome, trip, answer, come_back)
+
+    def _carry(self) -> None:
+        """Carries out what the decisions want, in order, until nothing is left."""
+        if self._carrying:
+            return
+        self._carrying = True
+        decisions = self.decisions
+        try:
+            while decisions.acts or self._soon:
+                acts, decisions.acts = decisions.acts, []
+                for act in acts:
+                    self._do(act)
+                if not decisions.acts and self._soon:
+                    trip, fate = self._soon.popleft()
+                    self._stop(trip, fate)
+        finally:
+            self._carrying = False
+
+    def _stop(self, trip: Trip, fate: Fate) -> None:
+        if trip.fate is not None:
+            return
+        if not self._hands.abandon(trip):  # no byte was written: it never ran
+            fate = Fate.UNREACHABLE if fate is Fate.TIMED_OUT else fate
+        ticket = self.tickets.get(trip.lookup)
+        if ticket is not None:
+            ticket.late = fate is Fate.TIMED_OUT
+        self.counts.fates[fate] = self.counts.fates.get(fate, 0) + 1
+        self.decisions.ended(trip, fate, False, self.decisions.now - trip.sent, None)
+
+    def _do(self, act: object) -> None:
+        match act:
+            case Send(trip):
+                ticket = self.tickets.get(trip.lookup)
+                if ticket is None:  # its client has gone in the same breath
+                    self._soon.append((trip, Fate.UNSENT))
+                    return
+                self.counts.trips += 1
+                self._at(trip.sent + trip.limit, trip)
+                self._hands.send(trip, ticket)
+            case Wake(at, lookup):
+                self._at(at, lookup)
+            case Shed(lookup, come_back):
+                if (ticket := self.tickets.get(lookup)) is not None:
+                    self._answer(ticket, Outcome.SHED, None, None, come_back)
+            case BreakOff(lookup):
+                if (ticket := self.tickets.get(lookup)) is not None:
+                    self._answer(ticket, Outcome.BROKEN_OFF, None, None, 0)
+            case CallOff(trip):
+                self._soon.append((trip, Fate.CALLED_OFF))
+            case Probe(unit):
+                self._hands.probe(unit)
+            case Close(unit):
+                self._hands.close(unit)
+            case Tell(peer, sightings):
+                self._tell(peer, sightings)
+            case Vote():
+                self._hands.vote(act)
+            case Watch(on):
+                self._hands.watch(on)
+            case Fetch():
+                self._hands.fetch()
+            case Note(text):
+                self._hands.note(text)
+
+    def _tell(self, peer: int | None, sightings: Sequence[Sighting]) -> None:
+        self._hands.tell(peer, pack(sightings, self._order))
+
+
+VERDICTS = {verdict: verdict.name.lower() for verdict in Verdict}
--- /dev/null
+++ b/lanelead/relay/gate.py
@@ -0,0 +1,494 @@
+"""Clients' connections: requests in, each with one final answer, in the order in which they came (RFC 9112,
+9.3.2).
+
+A pipelined lookup is taken at once only where its outer limit lies no earlier than those of the lookups
+ahead of it, for its answer cannot pass theirs; else it is taken when they are answered, with the time that
+is then left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import itertools
+import re
+import socket
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import netaddr
+
+from lanelead.http import writing
+from lanelead.http.answers import Answer
+from lanelead.http.asks import Ask, AskReader, Expecting, Refusal
+from lanelead.interface import Lane, Member, Ticks, Trip
+from lanelead.protocols.records import Complaint, Malformed, decode, encode
+from lanelead.relay.driver import Driver, Outcome, Ticket
+from lanelead.relay.links import OURS
+from lanelead.settings import records
+
+BUFFER = 8192  # bytes read at once
+IDENT = re.compile(rb"[!-~]{1,128}\Z")
+DIGITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,3})?\Z")
+PLAIN = ((b"content-type", b"text/plain; charset=utf-8"),)
+
+# What accept may fail with without the listening socket being of no more use.
+PASSING = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED)
+
+
+class Slot:
+    """A request's place in the order of answers."""
+
+    __slots__ = ("ask", "close", "due", "text", "ticket", "waits")
+
+    def __init__(self, ask: Ask | None) -> None:
+        self.ask = ask
+        self.text: bytes | None = None  # the answer, once there is one
+        self.ticket: Ticket | None = None
+        self.due: Ticks = 0
+        self.waits: Callable[[], None] | None = None  # takes the lookup, when those ahead are answered
+        self.close = False
+
+
+class Refused(Exception):
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+class Reception:
+    """Tells what lane, member, key and time a request has. Made once from the settings."""
+
+    def __init__(self, service: records.Service, driver: Driver, members: Sequence[Member]) -> None:
+        names = service.headers
+        self._member, self._key, self._left, self._lookup = (
+            name.lower().encode() for name in (names.member, names.key, names.left, names.lookup)
+        )
+        rows = [(lane.prefix.encode(), lane.methods, driver.lanes[lane.name]) for lane in service.lanes]
+        rows.sort(key=lambda row: -len(row[0]))  # the longest prefix that fits holds
+        self._lanes = [(prefix, frozenset(methods), lane) for prefix, methods, lane in rows]
+        self._limits = {driver.lanes[lane.name]: lane for lane in service.lanes}
+        self._early = records.ticks(service.duties.early_ms)
+        self.members = {member.name: member for member in members}  # the decisions know these very objects
+        spans = [(netaddr.IPNetwork(text), row.name) for row in service.members for text in row.networks]
+        spans.sort(key=lambda pair: -pair[0].prefixlen)
+        self._spans = spans
+        self._number = itertools.count(1)
+
+    def lane(self, ask: Ask) -> Lane:
+        path, fitting = ask.target.partition(b"?")[0], False
+        for prefix, methods, lane in self._lanes:
+            if path.startswith(prefix):
+                if ask.method in methods:
+                    return lane
+                fitting = True
+        raise Refused(
+            405 if fitting else 404, "no lane takes this method here" if fitting else "no such lane"
+        )
+
+    def member_at(self, address: str) -> Member | None:
+        """By the client's address, the narrowest network first."""
+        if not self._spans:
+            return None
+        ip = netaddr.IPAddress(address)
+        return next((self.members[name] for span, name in self._spans if ip in span), None)
+
+    def member(self, ask: Ask, by_address: Member | None) -> Member | None:
+        raw = ask.header(self._member)
+        return by_address if raw is None else self.members.get(raw.decode("latin-1"), by_address)
+
+    def key(self, ask: Ask) -> str | None:
+        raw = ask.header(self._key)
+        return None if raw is None else raw.decode("latin-1")
+
+    def left(self, ask: Ask, lane: Lane) -> Ticks:
+        """The time to the final answer; earlier than the client's own by what the way back may take."""
+        raw, most = ask.header(self._left), lane.outer_limit
+        if raw is not None:
+            if not DIGITS.match(raw):
+                raise Refused(400, f"{self._left.decode()} takes milliseconds, as digits")
+            most = min(most, int(float(raw) * 10))
+        return most - self._early
+
+    def ident(self, ask: Ask) -> str:
+        raw = ask.header(self._lookup)
+        if raw is None or not IDENT.match(raw):
+            return f"relay-{next(self._number)}"
+        return raw.decode("latin-1")
+
+
+class Connection:
+    def __init__(self, gate: Gate, sock: socket.socket, address: str) -> None:
+        self._gate, self._sock, self._loop = gate, sock, gate.loop
+        self._reader = AskReader(gate.allowance.head_bytes, gate.allowance.body_bytes)
+        self._member = gate.reception.member_at(address)
+        self.slots: deque[Slot] = deque()
+        self._ready = asyncio.Event()  # the slot at the front has its answer, or all is over
+        self._room = asyncio.Event()
+        self._eof = self._closing = False
+        self.moved = gate.loop.time()  # when bytes last went either way
+        self._busy = False  # a write is under way
+        self._tasks = [gate.loop.create_task(self._read()), gate.loop.create_task(self._write())]
+        for task in self._tasks:
+            task.add_done_callback(gate.finished)
+
+    @property
+    def quiet(self) -> bool:
+        return not self.slots and not self._busy
+
+    @property
+    def stuck(self) -> bool:
+        """Waits for the client, in the middle of a request or of an answer."""
+        return self._busy or (not self.slots and self._reader.state.value.startswith("in"))
+
+    # Reading
+
+    async def _read(self) -> None:
+        gate, buffer = self._gate, self._gate.buffer()
+        view = memoryview(buffer)
+        try:
+            while True:
+                if not self._closing and len(self.slots) >= gate.allowance.pipelined:
+                    self._room.clear()
+                    await self._room.wait()
+                    continue
+                size = await self._loop.sock_recv_into(self._sock, buffer)
+                if size == 0:  # half closed: what was asked is still answered
+                    self._eof = True
+                    break
+                if self._closing:  # nothing more is answered here, so nothing more is taken
+                    continue
+                self.moved = self._loop.time()
+                for event in self._reader.feed(view[:size]):
+                    match event:
+                        case Ask():
+                            self._asked(event)
+                        case Refusal(status, reason):
+                            gate.refused(status, reason)
+                            self._say(self._slot(None), status, reason, close=True)
+                        case Expecting():
+                            if self.quiet and not self._closing:
+                                await self._loop.sock_sendall(self._sock, writing.CONTINUE)
+                gate.after()
+        except OSError:  # reset: the client is gone, and no answer is owed
+            self._gone()
+        finally:
+            view.release()
+            gate.give_back(buffer)
+            self._ready.set()
+
+    def _slot(self, ask: Ask | None) -> Slot:
+        slot = Slot(ask)
+        self.slots.append(slot)
+        return slot
+
+    def _asked(self, ask: Ask) -> None:
+        if self._closing:
+            return
+        slot = self._slot(ask)
+        if not ask.keep or self._gate.draining:
+            slot.close, self._closing = True, True
+        if ask.target.startswith(b"/.lanelead/"):
+            self._own(slot, ask)
+            return
+        reception = self._gate.reception
+        try:
+            lane = reception.lane(ask)
+            left = reception.left(ask, lane)
+            if lane.repeat.value == "receipted" and ask.header(b"idempotency-key") is None:
+                raise Refused(400, "this lane takes an Idempotency-Key")
+        except Refused as refused:
+            self._say(slot, refused.status, refused.text)
+            return
+        ticket = slot.ticket = Ticket(reception.ident(ask), ask, self._replied)
+        member, key = reception.member(ask, self._member), reception.key(ask)
+        now = self._gate.clock()
+        slot.due = now + left
+        due = slot.due
+
+        def take() -> None:
+            slot.waits = None
+            self._gate.driver.take(ticket, lane, member, key, due - self._gate.clock())
+
+        ahead = [other.due for other in self.slots if other is not slot and other.text is None]
+        if ahead and max(ahead) > due:
+            slot.waits = take
+        else:
+            take()
+
+    def _own(self, slot: Slot, ask: Ask) -> None:
+        """The relay's own paths: complaints of wrong answers, and how the relay stands."""
+        gate = self._gate
+        if ask.target == b"/.lanelead/complaint" and ask.method == "POST":
+            try:
+                told = decode(ask.body, Complaint)
+                lane = gate.driver.lanes.get(told.lane)
+                if lane is None:
+                    raise Malformed(f"no lane {told.lane!r}")
+                if not gate.driver.complaint(told.unit, lane, int(told.age_ms * 10)):
+                    raise Malformed(f"no unit {told.unit!r} was ever listed")
+            except Malformed as fault:
+                self._say(slot, 400, str(fault))
+                return
+            self._fill(slot, writing.answer(204, (), b"", not slot.close))
+        elif ask.target == b"/.lanelead/state" and ask.method in ("GET", "HEAD"):
+            body = encode(gate.state())
+            text = writing.answer(
+                200,
+                ((b"content-type", b"application/json"),),
+                body,
+                not slot.close,
+                ask.method == "HEAD",
+                b"%d" % len(body),
+            )
+            self._fill(slot, text)
+        else:
+            self._say(slot, 404, "nothing here")
+
+    # Answers
+
+    def _say(self, slot: Slot, status: int, text: str, close: bool = False) -> None:
+        """An answer of the relay's own, to what is not a lookup."""
+        if close:
+            slot.close = self._closing = True
+        head = slot.ask is not None and slot.ask.method == "HEAD"
+        body = (text + "\n").encode()
+        fields = (*PLAIN, (b"lanelead-outcome", b"not-a-lookup"))
+        self._fill(slot, writing.answer(status, fields, body, not slot.close, head, b"%d" % len(body)))
+
+    def _replied(
+        self, ticket: Ticket, outcome: Outcome, trip: Trip | None, answer: Answer | None, come_back: Ticks
+    ) -> None:
+        slot = next((slot for slot in self.slots if slot.ticket is ticket), None)
+        if slot is None:
+            return
+        self._gate.told(ticket, outcome, trip)
+        head, keep = ticket.ask.method == "HEAD", not slot.close
+        ident = (b"x-request-id", ticket.ident.encode("latin-1"))
+        word = (b"lanelead-outcome", outcome.value.encode())
+        if outcome is Outcome.DONE and answer is not None and trip is not None:
+            fields = [pair for pair in writing.passed_on(answer.headers, OURS) if pair[0] != b"x-request-id"]
+            fields += (
+                ident,
+                word,
+                (b"lanelead-unit", self._gate.driver.door.names[trip.unit].encode()),
+                (b"lanelead-build", b"%d" % trip.unit.build),
+            )
+            length = answer.header(b"content-length")
+            text = writing.answer(answer.status, fields, answer.body, keep, head, length)
+        elif outcome is Outcome.SHED:
+            seconds = max(1, -(-come_back // 10_000))
+            fields = [
+                *PLAIN,
+                ident,
+                word,
+                (b"retry-after", b"%d" % seconds),
+                (b"lanelead-come-back", b"%d" % (come_back // 10)),
+            ]
+            text = writing.answer(
+                503, fields, b"shed: nothing was done; it may be asked again\n", keep, head, b"46"
+            )
+        else:
+            status = 504 if ticket.late else 502
+            fields = [*PLAIN, ident, word]
+            text = writing.answer(status, fields, b"broken off: it may have been done\n", keep, head, b"34")
+        self._fill(slot, text)
+
+    def _fill(self, slot: Slot, text: bytes) -> None:
+        if slot.text is None:
+            slot.text = text
+            if self.slots and self.slots[0] is slot:
+                self._ready.set()
+
+    async def _write(self) -> None:
+        """Writes answers in order, as many at once as are ready."""
+        gate = self._gate
+        try:
+            while True:
+                while not (self.slots and self.slots[0].text is not None):
+                    if not self.slots and (self._eof or self._closing):
+                        return
+                    self._ready.clear()
+                    await self._ready.wait()
+                parts, last = list[bytes](), False
+                while self.slots and (text := self.slots[0].text) is not None and not last:
+                    last = self.slots.popleft().close
+                    parts.append(text)
+                self._busy = True
+                await self._loop.sock_sendall(self._sock, parts[0] if len(parts) == 1 else b"".join(parts))
+                self._busy = False
+                self.moved = self._loop.time()
+                if last:
+                    self._closing = True
+                    return
+                self._room.set()
+                self._next()
+                gate.after()
+        except OSError:
+            self._gone()
+        finally:
+            await self._end()
+
+    def _next(self) -> None:
+        """Takes the lookups that waited for those ahead of them."""
+        for slot in list(self.slots):
+            if slot.waits is None:
+                continue
+            ahead = itertools.takewhile(lambda other, slot=slot: other is not slot, self.slots)  # type: ignore[misc]
+            if max((other.due for other in ahead if other.text is None), default=0) > slot.due:
+                return
+            slot.waits()
+
+    def _gone(self) -> None:
+        self._closing = True
+        for slot in self.slots:
+            if slot.ticket is not None:
+                self._gate.driver.left(slot.ticket)
+        self.slots.clear()
+        self._ready.set()
+        self._room.set()
+        self._gate.after()
+
+    async def _end(self) -> None:
+        self._closing = True
+        if self.slots:
+            self._gone()
+        reader = self._tasks[0]
+        if not self._eof and not reader.done():
+            # What the client still sends is read and dropped for a moment: closing on it would reset the
+            # connection, and the answer that was just written could be lost (RFC 9112, section 9.6).
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+                async with asyncio.timeout(0.5):
+                    await asyncio.shield(asyncio.gather(reader, return_exceptions=True))
+            except (OSError, TimeoutError):
+                pass
+        reader.cancel()
+        await asyncio.gather(reader, return_exceptions=True)
+        self._sock.close()
+        self._gate.closed(self)
+
+    def break_(self) -> None:
+        """Ends the connection at once, whatever is on it."""
+        self._gone()
+        for task in self._tasks:
+            task.cancel()
+
+
+class Gate:
+    """The listening socket and all clients' connections."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        service: records.Service,
+        driver: Driver,
+        clock: Callable[[], Ticks],
+        state: Callable[[], Mapping[str, Any]],
+        log: Any,
+        members: Sequence[Member],
+    ) -> None:
+        self.loop, self.driver, self.clock, self.state, self._log = loop, driver, clock, state, log
+        self.allowance, self.reception = service.allowance, Reception(service, driver, members)
+        self.connections: dict[Connection, None] = {}
+        self._spare: list[bytearray] = []
+        self.draining = False
+        self._sock: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
+        self.after: Callable[[], None] = lambda: None
+        self._idle_limit = service.allowance.idle_limit_ms / 1000
+        self.turned_off = 0  # connections beyond the allowance
+        self.malformed = 0
+
+    def listen(self, host: str, port: int) -> tuple[str, int]:
+        """Raises OSError where the address cannot be had."""
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(min(1024, self.allowance.open_connections))
+        self._sock = sock
+        self._accepting = self.loop.create_task(self._accept(sock))
+        name = sock.getsockname()
+        return str(name[0]), int(name[1])
+
+    async def _accept(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                conn, address = await self.loop.sock_accept(sock)
+            except OSError as fault:
+                if fault.errno not in PASSING:
+                    raise
+                # Guards against used up descriptors: those connected are served on, the others wait their
+                # turn.
+                self._log.warning("cannot accept", reason=str(fault))
+                await asyncio.sleep(0.1)
+                continue
+            if len(self.connections) >= self.allowance.open_connections:
+                self.turned_off += 1
+                fields = (*PLAIN, (b"lanelead-outcome", b"shed"), (b"retry-after", b"1"))
+                with contextlib.suppress(OSError):
+                    conn.send(writing.answer(503, fields, b"shed: too many connections\n", keep=False))
+                conn.close()
+                continue
+            conn.setblocking(False)
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections[Connection(self, conn, address[0])] = None
+
+    def buffer(self) -> bytearray:
+        return self._spare.pop() if self._spare else bytearray(BUFFER)
+
+    def give_back(self, buffer: bytearray) -> None:
+        if len(self._spare) < 256:
+            self._spare.append(buffer)
+
+    def finished(self, task: asyncio.Task[None]) -> None:
+        # Guards against a fault of ours that would end a connection's task unseen, and leave its client
+        # waiting.
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            self._log.error("a connection's task failed", exc_info=fault)
+
+    def closed(self, connection: Connection) -> None:
+        self.connections.pop(connection, None)
+
+    def refused(self, status: int, reason: str) -> None:
+        self.malformed += 1
+        self._log.info("refused", status=status, reason=reason)
+
+    def told(self, ticket: Ticket, outcome: Outcome, trip: Trip | None) -> None:
+        if outcome is Outcome.DONE:
+            return
+        trips = [
+            (self.driver.door.names[row.unit], row.fate.value if row.fate else "out")
+            for row in (ticket.lookup.trips if ticket.lookup else ())
+        ]
+        lane = ticket.lookup.lane.name if ticket.lookup else None
+        self._log.info("answered", lookup=ticket.ident, outcome=outcome.value, lane=lane, trips=trips)
+
+    def sweep(self) -> None:
+        """Ends connections whose client has moved no byte for the idle limit while it was its turn."""
+        oldest = self.loop.time() - self._idle_limit
+        for connection in list(self.connections):
+            if connection.moved < oldest and connection.stuck:
+                connection.break_()
+
+    def open_lookups(self) -> int:
+        return sum(len(connection.slots) for connection in self.connections)
+
+    async def drain(self, most: float) -> None:
+        """No new connections; every lookup that was taken gets its answer, then all ends."""
+        self.draining = True
+        if self._accepting is not None:
+            self._accepting.cancel()
+            await asyncio.gather(self._accepting, return_exceptions=True)
+        if self._sock is not None:
+            self._sock.close()
+        end = self.loop.time() + most
+        while any(not connection.quiet for connection in self.connections) and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+        connections: Sequence[Connection] = list(self.connections)
+        for connection in connections:
+            connection.break_()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/lanelead/relay/main.py
@@ -0,0 +1,25 @@
+"""Starts a relay's process on uvloop."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+
+from lanelead.logs import logger
+from lanelead.relay.service import Seam, Service
+from lanelead.settings.records import Relay
+
+
+def run(settings: Relay, form: str, seam: Seam | None = None) -> None:
+    """Serves until SIGTERM. The line `ready HOST PORT` on standard output says that it listens."""
+    log = logger(form)
+
+    def ready(host: str, port: int) -> None:
+        sys.stdout.write(f"ready {host} {port}\n")
+        sys.stdout.flush()
+
+    async def serve() -> None:
+        await Service(settings, log, seam).run(ready)
+
+    uvloop.run(serve())
--- /dev/null
+++ b/lanelead/relay/service.py
@@ -0,0 +1,361 @@
+"""A relay's process: sockets, feeds, peers and signals around one driver."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from lanelead.interface import Decisions, Fate, Member, Ticks, Trip, Unit, Vote
+from lanelead.protocols import datagrams
+from lanelead.protocols.records import Listed, Malformed, NewsLine, VoteAnswer, VoteAsk, decode, encode
+from lanelead.relay.calls import Failed, call, stream
+from lanelead.relay.driver import VERDICTS, WORDS, Driver, Ticket
+from lanelead.relay.gate import Gate
+from lanelead.relay.links import Links
+from lanelead.rules import Relay
+from lanelead.settings import records
+
+EPOCH: Ticks = 36_000_000  # the clock at the start: an hour, so that units older than the relay have a past
+Seam = Callable[[Decisions], Decisions]  # for tests only: takes a guard out, from outside the decisions
+
+
+class Service:
+    def __init__(self, settings: records.Relay, log: Any, seam: Seam | None = None) -> None:
+        self._settings, self._log = settings, log.bind(relay=settings.number)
+        self._seam = seam
+        self._loop = asyncio.get_running_loop()
+        self._began = self._loop.time()
+        self._chance = Random(f"feeds {settings.seed} {settings.number}")
+        self._stop = asyncio.Event()
+        self._tasks: dict[asyncio.Task[Any], None] = {}
+        self._feeds: dict[str, asyncio.Task[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: Ticks = 0
+        self._sent = 0
+        self._offset: Ticks | None = None
+        self._known: set[int] = set()
+        self._dropped: dict[str, int] = {}
+        self._up: dict[str, bool] = {"roster": False, "desk": False}
+        self._knows = asyncio.Event()  # the roster has been heard
+        self._udp: socket.socket | None = None
+        self._links: Links
+        self.driver: Driver
+        self.gate: Gate
+
+    def clock(self) -> Ticks:
+        return EPOCH + int((self._loop.time() - self._began) * 10_000)
+
+    def _build(self) -> None:
+        settings, service = self._settings, self._settings.service
+        allowance = service.allowance
+        lanes = [lane.figures() for lane in service.lanes]
+        duties = service.duties.figures(settings.discovery == "subscribe")
+        members = [Member(row.name, row.quota, row.share) for row in service.members]
+        self._links = Links(
+            self._loop,
+            settings.number,
+            allowance.connect_limit_ms / 1000,
+            allowance.idle_limit_ms / 1000,
+            allowance.unit_connections,
+            4 * allowance.body_bytes + 65536,
+            frozenset(settings.reports),
+            self._log,
+        )
+        decisions: Decisions = Relay(
+            place=records.place(settings),
+            lanes=lanes,
+            members=members,
+            allowance=allowance.figures(settings.peers is not None),
+            duties=duties,
+            trial=service.trial.figures(),
+            poll=service.poll.figures(),
+            tariff=records.TARIFF,
+            chance=Random(settings.seed * 65537 + settings.number),
+            now=self.clock(),
+        )
+        if self._seam is not None:
+            decisions = self._seam(decisions)
+        self.driver = Driver(
+            decisions,
+            self,
+            self.clock,
+            lanes,
+            duties,
+            allowance.open_lookups,
+            records.ticks(allowance.longest_advice_ms),
+        )
+        self._links.driver, self._links.after = self.driver, self._arm
+        self.gate = Gate(self._loop, service, self.driver, self.clock, self.state, self._log, members)
+        self.gate.after = self._arm
+
+    async def run(self, ready: Callable[[str, int], None] = lambda host, port: None) -> None:
+        """Serves until told to stop: SIGTERM or SIGINT drains, a second one ends at once."""
+        self._build()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._signalled)
+        if self._settings.discovery == "automatic":
+            self.watch(True)
+        self._feed("desk", self._desk())
+        if self._settings.peers is not None:
+            self._open_peers(self._settings.peers)
+        # A relay without a list would shed all: it waits for one, but not for ever.
+        try:
+            async with asyncio.timeout(self._settings.roster.most_wait_ms / 1000):
+                await self._knows.wait()
+        except TimeoutError:
+            self._log.warning("no roster yet: lookups are shed until there is one")
+        try:
+            host, port = self.gate.listen(self._settings.listen.host, self._settings.listen.port)
+        except OSError as fault:
+            self._log.error("cannot listen", port=self._settings.listen.port, reason=str(fault))
+            raise SystemExit(1) from None
+        self._log.info("listening", host=host, port=port)
+        ready(host, port)
+        self._arm()
+        sweeper = self._task(self._sweep())
+        await self._stop.wait()
+        self._log.info("draining", open=len(self.driver.tickets))
+        longest = max(lane.outer_limit_ms for lane in self._settings.service.lanes) / 1000
+        await self.gate.drain(longest + 1)
+        sweeper.cancel()
+        await self._links.shut()
+        for task in [*self._feeds.values(), *self._tasks]:
+            task.cancel()
+        await asyncio.gather(*self._feeds.values(), *self._tasks, return_exceptions=True)
+        if self._udp is not None:
+            self._loop.remove_reader(self._udp)
+            self._udp.close()
+        self._log.info("stopped", **self.state())
+
+    def _signalled(self) -> None:
+        if self._stop.is_set():
+            raise SystemExit(1)
+        self._stop.set()
+
+    def _task(self, what: Any) -> asyncio.Task[Any]:
+        task = self._loop.create_task(what)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        return task
+
+    def _arm(self) -> None:
+        """Sets the one timer of the loop to the driver's next."""
+        due = self.driver.due()
+        if due is None or (self._timer is not None and self._timer_at <= due):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = self._loop.call_at(self._began + (due - EPOCH) / 10_000 + 5e-5, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.driver.tick()
+        self._arm()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(1)
+            self._links.sweep()
+            self.gate.sweep()
+
+    def state(self) -> dict[str, Any]:
+        counts = self.driver.counts
+        return {
+            "taken": counts.taken,
+            "done": counts.done,
+            "shed": counts.shed,
+            "broken_off": counts.broken_off,
+            "left": counts.left,
+            "at_the_door": counts.at_the_door,
+            "trips": counts.trips,
+            "fates": {fate.value: many for fate, many in counts.fates.items()},
+            "open": len(self.driver.tickets),
+            "clients": len(self.gate.connections),
+            "units": len(self.driver.places),
+            "opened": self._links.opened,
+            "reused": self._links.reused,
+            "dropped": dict(self._dropped),
+            "feeds": dict(self._up),
+            "malformed": self.gate.malformed,
+        }
+
+    # Hands
+
+    def send(self, trip: Trip, ticket: Ticket) -> None:
+        self._links.send(trip, ticket)
+
+    def abandon(self, trip: Trip) -> bool:
+        return self._links.abandon(trip)
+
+    def probe(self, unit: Unit) -> None:
+        self._links.probe(unit)
+
+    def close(self, unit: Unit) -> None:
+        self._links.close_idle(unit)
+
+    def tell(self, peer: int | None, payloads: Sequence[bytes]) -> None:
+        if self._udp is None or self._settings.peers is None:
+            return
+        for other in self._settings.peers.others:
+            if peer is not None and other.number != peer:
+                continue
+            for payload in payloads:
+                self._sent += 1
+                try:
+                    self._udp.sendto(
+                        datagrams.seal(self._settings.number, self._sent, payload), (other.host, other.port)
+                    )
+                except OSError:  # a full buffer, or nobody there: such messages may be lost
+                    self._drop("not sent")
+
+    def vote(self, vote: Vote) -> None:
+        self._task(self._vote(vote))
+
+    def watch(self, on: bool) -> None:
+        if on:
+            self._feed("roster", self._roster())
+        elif (task := self._feeds.pop("roster", None)) is not None:
+            task.cancel()
+
+    def fetch(self) -> None:
+        self._task(self._fetch())
+
+    def note(self, text: str) -> None:
+        self._log.info("note", text=text)
+
+    # Feeds
+
+    def _feed(self, name: str, what: Any) -> None:
+        if (
+            (old := self._feeds.get(name)) is not None
+            and not old.done()
+            and old is not asyncio.current_task()
+        ):
+            old.cancel()
+        self._feeds[name] = self._loop.create_task(what)
+
+    def _drop(self, why: str) -> None:
+        self._dropped[why] = self._dropped.get(why, 0) + 1
+
+    async def _follow(
+        self, name: str, path: bytes, feed: records.Feed, heard: Callable[[bytes], None]
+    ) -> None:
+        """Reads a stream for ever, and comes back to it after a growing wait with a random part."""
+        wait = feed.least_wait_ms / 1000
+        while True:
+            if name == "roster":
+                self._offset = None  # the roster's clock is read anew on each stream
+            try:
+                async for line in stream(self._loop, feed.address, path, feed.silence_ms / 1000):
+                    heard(line)
+                    wait = feed.least_wait_ms / 1000
+                    if not self._up[name]:
+                        self._up[name] = True
+                        self._log.info("feed up", feed=name)
+                    self._arm()
+            except (Failed, Malformed) as fault:
+                if self._up[name]:
+                    self._log.warning("feed down: going on with what is known", feed=name, reason=str(fault))
+                self._up[name] = False
+            await asyncio.sleep(wait * self._chance.uniform(0.5, 1.5))
+            wait = min(2 * wait, feed.most_wait_ms / 1000)
+            if name == "roster" and self._settings.discovery == "subscribe":
+                # The decisions ask again; the wait above bounds how often.
+                self._loop.call_soon(self._roster_failed)
+                return
+
+    def _roster_failed(self) -> None:
+        self.driver.roster_failed()
+        self._arm()
+
+    async def _roster(self) -> None:
+        def heard(line: bytes) -> None:
+            listed = decode(line, Listed)
+            if self._offset is None:
+                self._offset = self.clock() - int(listed.clock_ms * 10)
+            self.driver.listed(listed, self._offset)
+            self._knows.set()
+
+        await self._follow(
+            "roster", b"/roster/watch?relay=%d" % self._settings.number, self._settings.roster, heard
+        )
+
+    async def _desk(self) -> None:
+        def heard(line: bytes) -> None:
+            self.driver.news(decode(line, NewsLine), False, Fate.DONE)
+
+        await self._follow("desk", b"/news?relay=%d" % self._settings.number, self._settings.desk, heard)
+
+    async def _fetch(self) -> None:
+        feed = self._settings.roster
+        try:
+            answer = await call(self._loop, feed.address, "GET", b"/roster", b"", feed.silence_ms / 1000)
+            listed = decode(answer.body, Listed)
+        except (Failed, TimeoutError, Malformed) as fault:
+            self._log.warning("roster not fetched", reason=str(fault))
+            await asyncio.sleep(feed.least_wait_ms / 1000)
+            self._roster_failed()
+            return
+        self.driver.listed(listed, self.clock() - int(listed.clock_ms * 10))
+        self._knows.set()
+        self._arm()
+
+    async def _vote(self, vote: Vote) -> None:
+        poll = self._settings.service.poll
+        asked = VoteAsk(self._settings.number, vote.build, vote.stage, VERDICTS[vote.verdict])  # type: ignore[arg-type]
+        line, word = None, Fate.ERROR
+        try:
+            answer = await call(
+                self._loop,
+                self._settings.desk.address,
+                "POST",
+                b"/votes",
+                encode(asked),
+                poll.answer_limit_ms / 1000,
+            )
+            if answer.status != 200:
+                raise Failed(f"status {answer.status}")
+            told = decode(answer.body, VoteAnswer)
+            line, word = told.news, WORDS[told.word]
+        except TimeoutError:
+            word = Fate.TIMED_OUT
+        except (Failed, Malformed) as fault:
+            self._log.warning("vote not cast", reason=str(fault))
+        self._log.info("vote", build=vote.build, stage=vote.stage, verdict=asked.verdict, word=word.value)
+        self.driver.news(line, True, word)
+        self._arm()
+
+    # Peers
+
+    def _open_peers(self, peers: records.Peers) -> None:
+        sock = socket.socket(
+            socket.AF_INET6 if ":" in peers.listen.host else socket.AF_INET, socket.SOCK_DGRAM
+        )
+        sock.setblocking(False)
+        sock.bind((peers.listen.host, peers.listen.port))
+        self._udp = sock
+        self._known = {other.number for other in peers.others}
+        self._loop.add_reader(sock, self._letters)
+
+    def _letters(self) -> None:
+        assert self._udp is not None
+        for _ in range(64):  # bounded, so that a flood leaves time for lookups
+            try:
+                data = self._udp.recv(datagrams.LARGEST + 1)
+            except BlockingIOError:
+                break
+            except OSError:
+                continue
+            letter = datagrams.open_(data, self._settings.relays)
+            if isinstance(letter, str):
+                self._drop(letter)
+            elif letter.sender not in self._known:
+                self._drop("sender")
+            else:
+                self.driver.heard(letter.sender, letter.payload)
+        self._arm()
--- /dev/null
+++ b/lanelead/settings/read.py
@@ -0,0 +1,159 @@
+"""Reads a settings file into typed records, and says all that is wrong with it at once."""
+
+from __future__ import annotations
+
+from functools import cache
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import netaddr
+from lark import Tree
+
+from lanelead.settings import cue
+from lanelead.settings.cue import Fault, Spot, Unfit
+from lanelead.settings.records import Day, Relay, Service
+
+
+@cache
+def _definitions() -> dict[str, cue.Value]:
+    text = files("lanelead.settings").joinpath("definitions.cue").read_text()
+    reader = cue.Reader("definitions.cue", {})
+    found = reader.definitions(cue.parse(text, "definitions.cue"))
+    if reader.faults:
+        raise Unfit(reader.faults)
+    return found
+
+
+def evaluate(text: str, file: str, definition: str) -> tuple[Any, dict[str, Spot]]:
+    """The file's plain value, unified with one of our definitions, and where each field stands."""
+    reader = cue.Reader(file, _definitions())
+    value: cue.Value = reader.whole(cue.parse(text, file))
+    faults = reader.faults
+    if not faults:
+        value = cue.unify(_definitions()[definition], value, "", faults)
+    spots: dict[str, Spot] = {}
+    result = cue.plain(value, "", faults, spots) if not faults else None
+    if faults:
+        raise Unfit(sorted(faults, key=lambda fault: (fault.spot.line, fault.spot.column)))
+    return result, spots
+
+
+def read(path: str | Path) -> Relay | Day:
+    """The record that a file holds. Raises Unfit with every fault found."""
+    file = str(path)
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as fault:
+        reason = getattr(fault, "strerror", None) or "bytes that are not UTF-8"
+        raise Unfit([Fault(Spot(file, 1, 1), "", reason, "a readable text file")]) from None
+    return read_text(text, file)
+
+
+def read_text(text: str, file: str) -> Relay | Day:
+    """The same, from a text; `file` is what faults name."""
+    top = set(_top(text, file))
+    definition = "#File"
+    result, spots = evaluate(text, file, definition) if not top & {"relay", "day"} else _one(text, file, top)
+    kind: type[Relay] | type[Day] = Relay if "relay" in result else Day
+    name = "relay" if kind is Relay else "day"
+    try:
+        record = msgspec.convert(result[name], kind)
+    except msgspec.ValidationError as fault:  # the definitions and the records do not agree
+        raise Unfit([Fault(spots[""], name, str(fault), "a value that the record takes")]) from None
+    faults = _service(record.service, f"{name}.service", spots)
+    faults += _relay(record, spots) if isinstance(record, Relay) else _day(record, spots)
+    if faults:
+        raise Unfit(faults)
+    return record
+
+
+def _top(text: str, file: str) -> list[str]:
+    parts = cue.parse(text, file).children
+    return [cue.Reader.label(part) for part in parts if isinstance(part, Tree) and part.data == "field"]
+
+
+def _one(text: str, file: str, top: set[str]) -> tuple[Any, dict[str, Spot]]:
+    # Unified with the one definition that is meant, its faults are nearer the point than a choice's.
+    return evaluate(text, file, "#RelayFile" if "relay" in top else "#DayFile")
+
+
+def _service(service: Service, at: str, spots: dict[str, Spot]) -> list[Fault]:
+    """What no field can say alone."""
+    faults = []
+
+    def blame(path: str, found: str, expected: str) -> None:
+        faults.append(Fault(spots.get(path, spots[at]), path, found, expected))
+
+    rows = {"lanes": [lane.name for lane in service.lanes], "members": [row.name for row in service.members]}
+    for kind, names in rows.items():
+        for place, name in enumerate(names):
+            if name in names[:place]:
+                blame(f"{at}.{kind}[{place}].name", f"{name!r} again", "a name used once")
+    for place, lane in enumerate(service.lanes):
+        path = f"{at}.lanes[{place}]"
+        if lane.expected_time_ms > lane.outer_limit_ms:
+            blame(f"{path}.expected_time_ms", str(lane.expected_time_ms), "no more than outer_limit_ms")
+        if lane.repeat == "receipted" and not lane.memory_ms:
+            blame(f"{path}.memory_ms", "none", "how long units remember the lane's receipts")
+    spans = list[tuple[netaddr.IPNetwork, str]]()
+    for place, member in enumerate(service.members):
+        for number, text in enumerate(member.networks):
+            path = f"{at}.members[{place}].networks[{number}]"
+            try:
+                span = netaddr.IPNetwork(text)
+            except (netaddr.AddrFormatError, ValueError):
+                blame(path, repr(text), "an IP network such as 10.1.0.0/16 or fd00::/8")
+                continue
+            if any(span == other for other, _ in spans):
+                blame(path, f"{text} again", "a network named once")
+            spans.append((span, member.name))
+    trial = service.trial
+    if len(trial.shares) != len(trial.caps):
+        blame(f"{at}.trial.caps", f"{len(trial.caps)} caps", f"{len(trial.shares)}, one a stage")
+    for name, figures in (("shares", trial.shares), ("caps", trial.caps)):
+        if sorted(figures) != figures:
+            blame(f"{at}.trial.{name}", f"{figures}", "figures that never fall from stage to stage")
+    return faults
+
+
+def _relay(record: Relay, spots: dict[str, Spot]) -> list[Fault]:
+    faults = []
+    if record.number >= record.relays:
+        found = f"{record.number} of {record.relays}"
+        faults.append(Fault(spots["relay.number"], "relay.number", found, "less than relay.relays"))
+    for name in ("roster", "desk"):
+        if getattr(record, name).address.port == 0:
+            path = f"relay.{name}.address.port"
+            faults.append(Fault(spots[path], path, "0", "the port of the other end"))
+    return faults
+
+
+def _day(record: Day, spots: dict[str, Spot]) -> list[Fault]:
+    faults = []
+    lanes = {lane.name for lane in record.service.lanes}
+    members = {member.name for member in record.service.members}
+
+    def blame(path: str, found: str, expected: str) -> None:
+        faults.append(Fault(spots.get(path, spots["day"]), path, found, expected))
+
+    named: list[tuple[str, str | None]]
+    named = [(f"day.clients.work[{place}].lane", work.lane) for place, work in enumerate(record.clients.work)]
+    named += [(f"day.desk.offers[{n}].lane", offer.lane) for n, offer in enumerate(record.desk.offers)]
+    named += [(f"day.events[{place}].lane", event.lane) for place, event in enumerate(record.events)]
+    for path, lane in named:
+        if lane is not None and lane not in lanes:
+            blame(path, repr(lane), f"a lane of the service: {', '.join(sorted(lanes))}")
+    for place, event in enumerate(record.events):
+        path = f"day.events[{place}]"
+        if event.member is not None and event.member not in members:
+            blame(f"{path}.member", repr(event.member), "a member of the service")
+        if event.relay is not None and event.relay >= record.relays:
+            blame(f"{path}.relay", str(event.relay), f"less than {record.relays}")
+        if event.at > record.seconds:
+            blame(f"{path}.at", str(event.at), f"at most the day's {record.seconds} s")
+    for place, offer in enumerate(record.desk.offers):
+        if offer.bad == "lane" and offer.lane is None:
+            blame(f"day.desk.offers[{place}]", "no lane", "the lane that the build fails")
+    return faults
--- /dev/null
+++ b/lanelead/standins/server.py
@@ -0,0 +1,64 @@
+"""A small HTTP/1.1 server for stand-ins, on asyncio's protocols and our own sans-I/O reader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lanelead.http import writing
+from lanelead.http.asks import Ask, AskReader, Expecting, Refusal
+
+
+class Caller(asyncio.Protocol):
+    """One connection. Requests come one at a time; `heard` is called with each."""
+
+    def __init__(
+        self, heard: Callable[[Caller, Ask], None], met: Callable[[Caller], None] | None = None
+    ) -> None:
+        self._heard, self._met = heard, met
+        self._reader = AskReader(65536, 64 << 20)
+        self.transport: asyncio.Transport | None = None
+        self.lost: list[Callable[[], None]] = []
+        self.peer = ""
+        self.paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport) or hasattr(transport, "write")
+        self.transport = transport  # type: ignore[assignment]
+        if self._met is not None:
+            self._met(self)
+
+    def data_received(self, data: bytes) -> None:
+        for event in self._reader.feed(data):
+            match event:
+                case Ask():
+                    self._heard(self, event)
+                case Expecting():
+                    self.write(writing.CONTINUE)
+                case Refusal(status, reason):
+                    self.write(writing.answer(status, (), reason.encode(), keep=False))
+                    self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        for call in self.lost:
+            call()
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def reset(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+STREAM = b"HTTP/1.1 200 OK\r\ncontent-type: application/x-ndjson\r\ntransfer-encoding: chunked\r\n\r\n"
