--- a/lanelead/days/commands.py
+++ b/lanelead/days/commands.py
@@ -12,7 +12,7 @@
 
 from lanelead.days.judge import Verdict, judge, report
 from lanelead.settings.cue import Unfit
-from lanelead.settings.read import read
+from lanelead.settings.read import read, read_text
 from lanelead.settings.records import Day
 from lanelead.standins.capture import BadCapture
 
@@ -96,6 +96,30 @@
     end(Path(folder), verdict)
 
 
+@day.command("from-bench")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option(
+    "-o", "--out", required=True, type=click.Path(dir_okay=False), help="Where the script is written."
+)
+def from_bench(file: str, out: str) -> None:
+    """Turns FILE, a day that the bench has drawn, into a script; says what could not be carried over."""
+    from lanelead.days.frombench import NotADay, script, written
+
+    try:
+        record, said = script(Path(file).read_bytes(), Path(out).stem)
+        text = written(record, said)
+        read_text(text, out)
+    except NotADay as fault:
+        click.echo(f"{file}: {fault}", err=True)
+        sys.exit(2)
+    except Unfit as unfit:
+        click.echo(str(unfit), err=True)
+        sys.exit(2)
+    Path(out).write_text(text)
+    for line in said:
+        click.echo(line)
+
+
 def end(folder: Path, out: str | None) -> None:
     try:
         found: Verdict = judge(folder)
--- a/lanelead/http/asks.py
+++ b/lanelead/http/asks.py
@@ -129,6 +129,8 @@
         version = self._parser.get_http_version()
         if version not in ("1.0", "1.1"):
             self._refuse(505, "HTTP/1.0 and HTTP/1.1 are spoken here")
+        if self._parser.should_upgrade():
+            self._refuse(501, "no other protocol is spoken here")
         if version == "1.1" and names.count(b"host") != 1:
             self._refuse(400, "a request must carry one Host")
         if version == "1.0" and b"transfer-encoding" in names:
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -131,10 +131,14 @@
             self._udp.close()
         self._log.info("stopped", **self.state())
 
+    def stop(self) -> None:
+        """Begins to drain; `run` returns when that is done."""
+        self._stop.set()
+
     def _signalled(self) -> None:
         if self._stop.is_set():
             raise SystemExit(1)
-        self._stop.set()
+        self.stop()
 
     def _task(self, what: Any) -> asyncio.Task[Any]:
         task = self._loop.create_task(what)
--- a/lanelead/settings/cue.py
+++ b/lanelead/settings/cue.py
@@ -18,9 +18,10 @@
 from lark import Lark, Token, Tree, UnexpectedInput
 from lark.exceptions import LarkError
 
+QUOTED = '"'  # begins the key of a quoted label: those are plain fields, whatever their first letter
 DEEPEST = 40  # levels of nesting; guards against a file that exhausts the interpreter's stack
 LARGEST = 4 << 20  # bytes of one file
-KINDS = {"string": (str,), "int": (int,), "number": (int, float), "bool": (bool,), "null": (type(None),)}
+KINDS = {"string": (str,), "int": (int,), "number": (int, float), "bool": (bool,)}
 ATOMS: dict[str, Any] = {"true": True, "false": False, "null": None}
 FACTORS = {"K": 1000, "M": 1000**2, "G": 1000**3, "T": 1000**4}
 FACTORS |= {f"{letter}i": 1024**power for power, letter in enumerate("KMGT", 1)}
@@ -195,7 +196,7 @@
         return Any_(self._spot(tree))
 
     def whole(self, tree: Tree[Token]) -> Struct:
-        return self._struct(tree, None, "", False)
+        return self._struct(tree, None, "")
 
     def definitions(self, tree: Tree[Token]) -> dict[str, Value]:
         scope = self._scope(tree, None)
@@ -210,13 +211,16 @@
         label = member.children[0]
         assert isinstance(label, Tree)
         text = str(label.children[0])
-        return str(json.loads(text)) if text.startswith('"') else text
+        return QUOTED + str(json.loads(text)) if text.startswith('"') else text
 
     def _scope(self, tree: Tree[Token], outer: Scope | None) -> Scope:
         fields: dict[str, list[Tree[Token]]] = {}
         for member in tree.children:
             if isinstance(member, Tree) and member.data == "field":
-                fields.setdefault(self.label(member), []).append(member)
+                label = self.label(member)
+                plain_ = label.removeprefix(QUOTED)
+                key = label if plain_.startswith(("#", "_")) else plain_
+                fields.setdefault(key, []).append(member)
         return Scope(fields, outer)
 
     def _named(self, name: str, scope: Scope, trees: Sequence[Tree[Token]], where: str) -> Value:
@@ -224,16 +228,16 @@
             return self._blame(trees[0], where, f"{name}, which leads back to itself", "a value")
         scope.busy.add(name)
         try:
-            # A definition is closed: it takes no field that it does not name.
-            values = [self._value(tree.children[-1], scope, where, name[0] == "#") for tree in trees]
+            values = [self._value(tree.children[-1], scope, where) for tree in trees]
         finally:
             scope.busy.discard(name)
         value = values[0]
         for other in values[1:]:
             value = unify(value, other, where, self.faults)
-        return value
+        # A definition is closed, with all within it: it takes no field that it does not name.
+        return close(value) if name[0] == "#" else value
 
-    def _struct(self, tree: Tree[Token], outer: Scope | None, where: str, closed: bool) -> Struct:
+    def _struct(self, tree: Tree[Token], outer: Scope | None, where: str) -> Struct:
         scope, members = self._scope(tree, outer), dict[str, Member]()
         others: Value | None = None
         last: Tree[Token] | Token | None = None
@@ -242,20 +246,19 @@
                 if isinstance(last, Tree) and last.meta.end_line == member.meta.line:
                     self._blame(member, where, "two fields on one line", "a comma or a new line between")
                 if member.data == "pattern":
-                    others = self._value(member.children[1], scope, where, closed)
+                    others = self._value(member.children[1], scope, where)
                 elif member.data == "rest":
                     others = Any_(self._spot(member))
             last = member
-        for name, trees in scope.fields.items():
-            if name.startswith(("#", "_")):
+        for label, trees in scope.fields.items():
+            if label.startswith(("#", "_")):  # a definition, or hidden; never so where it is quoted
                 continue
+            name = label.removeprefix(QUOTED)
             at = f"{where}.{name}" if where else name
-            value = self._named(name, scope, trees, at)
-            if closed and isinstance(value, Struct):
-                value = replace(value, closed=True)
+            value = self._named(label, scope, trees, at)
             optional = all(any(mark == "?" for mark in tree.children[1:-1]) for tree in trees)
             members[name] = Member(value, optional, self._spot(trees[0]))
-        return Struct(self._spot(tree), members, others, closed)
+        return Struct(self._spot(tree), members, others)
 
     def _number(self, token: Token) -> int | float:
         text = token.replace("_", "")
@@ -266,7 +269,7 @@
                 return round(float(text[: -len(unit)]) * FACTORS[unit])
         return float(text) if any(sign in text for sign in ".eE") else int(text)
 
-    def _value(self, tree: Any, scope: Scope, where: str, closed: bool) -> Value:
+    def _value(self, tree: Any, scope: Scope, where: str) -> Value:
         spot, parts = self._spot(tree), tree.children
         match tree.data:
             case "number":
@@ -277,25 +280,25 @@
             case "text":
                 return Atom(spot, json.loads(parts[0]))
             case "struct" | "nested":
-                return self._struct(tree, scope, where, closed)
+                return self._struct(tree, scope, where)
             case "reference":
                 return self._reference(tree, scope, where)
             case "both":
-                value = self._value(parts[0], scope, where, closed)
+                value = self._value(parts[0], scope, where)
                 for part in parts[1:]:
-                    value = unify(value, self._value(part, scope, where, closed), where, self.faults)
+                    value = unify(value, self._value(part, scope, where), where, self.faults)
                 return value
             case "either":
                 branches = []
                 for part in parts:
                     marked = part.data == "preferred"
                     inner = part.children[0] if marked else part
-                    branches.append((self._value(inner, scope, where, closed), marked))
+                    branches.append((self._value(inner, scope, where), marked))
                 return Choice(spot, tuple(branches))
             case "preferred":
-                return self._value(parts[0], scope, where, closed)
+                return self._value(parts[0], scope, where)
             case "bound":
-                edge = self._value(parts[1], scope, where, closed)
+                edge = self._value(parts[1], scope, where)
                 if not isinstance(edge, Atom) or edge.value is None or isinstance(edge.value, bool):
                     return self._blame(tree, where, show(edge), "a number or a string after the bound")
                 kind = "string" if isinstance(edge.value, str) else "number"
@@ -306,10 +309,10 @@
                         return self._blame(tree, where, str(fault), "a regular expression")
                 return Limits(spot, None if str(parts[0]) == "!=" else kind, ((str(parts[0]), edge.value),))
             case "sequence":
-                return self._row(tree, scope, where, closed)
+                return self._row(tree, scope, where)
         return self._blame(tree, where, str(tree.data), "a value")
 
-    def _row(self, tree: Tree[Token], scope: Scope, where: str, closed: bool) -> Value:
+    def _row(self, tree: Tree[Token], scope: Scope, where: str) -> Value:
         items, rest = list[Value](), None
         for part in tree.children:
             if isinstance(part, Token):
@@ -318,9 +321,9 @@
                 return self._blame(part, where, "an item after ...", "the end of the list")
             if part.data == "ellipsis":
                 inner = part.children[1:]
-                rest = self._value(inner[0], scope, where, closed) if inner else Any_(self._spot(part))
+                rest = self._value(inner[0], scope, where) if inner else Any_(self._spot(part))
             else:
-                items.append(self._value(part, scope, f"{where}[{len(items)}]", closed))
+                items.append(self._value(part, scope, f"{where}[{len(items)}]"))
         return Row(self._spot(tree), tuple(items), rest)
 
     def _reference(self, tree: Tree[Token], scope: Scope, where: str) -> Value:
@@ -353,6 +356,19 @@
 # Unification
 
 
+def close(value: Value) -> Value:
+    """The same, with each struct in it closed."""
+    match value:
+        case Struct(spot, members, others):
+            inner = {name: replace(member, value=close(member.value)) for name, member in members.items()}
+            return Struct(spot, inner, others and close(others), True)
+        case Row(spot, items, rest):
+            return Row(spot, tuple(map(close, items)), rest and close(rest))
+        case Choice(spot, branches):
+            return Choice(spot, tuple((close(branch), marked) for branch, marked in branches))
+    return value
+
+
 def _fits(atom: Any, kind: str | None) -> bool:
     if kind is None:
         return True
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -199,10 +199,11 @@
 	kind: "kill" | "stop" | "slow" | "errors" | "neighbour" | "refuse" | "deaf" | "mute" | "cut" |
 		"cut_answer" | "trickle" | "garbage" | "drop_idle" | "few_connections" | "burst" | "member_burst" |
 		"hot_key" | "hot_caller" | "heavy_tail" | "haste" | "idle_reap" | "false_reports" |
-		"bad_requests" | "slow_lane" | "drain" | "relay_kill" | "relay_stop" | "relay_roll" |
-		"roster_away" | "desk_away" | "desk_mute" | "peers_lost"
+		"bad_requests" | "slow_lane" | "give_up" | "retry_abuse" | "drain" | "relay_kill" | "relay_stop" | "relay_roll" |
+		"roster_away" | "desk_away" | "desk_mute" | "desk_stale" | "peers_lost"
 	count: (int & >=1) | *1
 	size:  (number & >=0) | *1
+	extra: (number & >=0) | *0
 	lane?: #Name
 	unit?: (int & >=0)
 	relay?: (int & >=0)
@@ -228,3 +229,36 @@
 #File: {relay: #Relay} | {day: #Day}
 #RelayFile: {relay: #Relay}
 #DayFile: {day: #Day}
+
+// A small town for short scripts: they add what happens.
+#Town: #Day & {
+	seconds: number | *14
+	relays:  int | *2
+	units: {count: int | *8, boot_ms: 200}
+	service: {
+		lanes: [
+			{name: "offer-status", methods: ["GET", "HEAD"], prefix: "/offers", repeat: "pure"
+				expected_time_ms: 400, outer_limit_ms: 1500, late_value: 0.2},
+			{name: "offer-save", methods: ["PUT"], prefix: "/drafts", repeat: "receipted", scope: "zone"
+				memory_ms: 3000, expected_time_ms: 400, outer_limit_ms: 1500, value: 2, late_value: 0.2},
+			{name: "offer-submit", methods: ["POST"], prefix: "/offers", repeat: "effectful"
+				expected_time_ms: 400, outer_limit_ms: 1500, value: 3, late_value: 0.2},
+		]
+		members: [
+			{name: "thermaiki", quota: 70, share: 0.62},
+			{name: "pindos-power", quota: 25, share: 0.24},
+			{name: "aigaio-energy", quota: 15, share: 0.14},
+		]
+		duties: {cold_share: 0.4, cold_ms: 3000}
+	}
+	clients: {
+		rate: number | *90
+		work: [
+			{lane: "offer-status", share: 0.55, ms: 60},
+			{lane: "offer-save", share: 0.15, ms: 40},
+			{lane: "offer-submit", share: 0.3, ms: 40},
+		]
+	}
+	roster: {late_ms: 300}
+	desk: {told_ms: 300}
+}
--- a/lanelead/settings/read.py
+++ b/lanelead/settings/read.py
@@ -71,7 +71,11 @@
 
 def _top(text: str, file: str) -> list[str]:
     parts = cue.parse(text, file).children
-    return [cue.Reader.label(part) for part in parts if isinstance(part, Tree) and part.data == "field"]
+    return [
+        cue.Reader.label(part).removeprefix(cue.QUOTED)
+        for part in parts
+        if isinstance(part, Tree) and part.data == "field"
+    ]
 
 
 def _one(text: str, file: str, top: set[str]) -> tuple[Any, dict[str, Spot]]:
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -275,6 +275,7 @@
     kind: str
     count: int
     size: float
+    extra: float
     lane: str | None = None
     unit: int | None = None
     relay: int | None = None
--- a/lanelead/standins/roster.py
+++ b/lanelead/standins/roster.py
@@ -25,8 +25,8 @@
 class Door:
     """A listening socket that can be shut and opened again at the same port."""
 
-    def __init__(self, port: int) -> None:
-        self.port = port
+    def __init__(self, port: int, tap: Tap) -> None:
+        self.port, self.tap = port, tap
         self._server: asyncio.Server | None = None
         self.callers: dict[Caller, None] = {}
 
@@ -44,6 +44,11 @@
         for caller in list(self.callers):
             caller.reset()
 
+    def close(self) -> None:
+        """Shuts it for good."""
+        self.shut()
+        self.tap.close()
+
     def _met(self, caller: Caller) -> None:
         self.callers[caller] = None
         caller.lost.append(lambda: self.callers.pop(caller, None) and None)
@@ -54,8 +59,8 @@
 
 class Roster(Door):
     def __init__(self, folder: Path, port: int, late: float) -> None:
-        super().__init__(port)
-        self._tap, self._late = Tap(folder, "roster"), late
+        super().__init__(port, Tap(folder, "roster"))
+        self._late = late
         self._rows: dict[str, Row] = {}
         self._version = 0
         self._watchers: dict[Caller, int] = {}
@@ -98,7 +103,7 @@
     def _tell(self, caller: Caller, relay: int, coverage: str, rows: list[Row]) -> None:
         if caller.transport is None:
             return
-        self._tap.note("told", relay=relay, coverage=coverage, units=msgspec.to_builtins(rows))
+        self.tap.note("told", relay=relay, coverage=coverage, units=msgspec.to_builtins(rows))
         caller.write(chunk(encode(self._listed(coverage, rows)) + b"\n"))
 
     def heard(self, caller: Caller, ask: Ask) -> None:
--- a/lanelead/standins/saboteur.py
+++ b/lanelead/standins/saboteur.py
@@ -83,6 +83,7 @@
     def __init__(self, decisions: Decisions) -> None:
         super().__init__(decisions)
         self.__dict__["_newest"] = None
+        self.__dict__["_meant"] = dict[Trip, Unit]()
 
     def roster(self, coverage: Coverage, listings: Sequence[Listing]) -> None:
         late = [row for row in listings if row.since and row.condition is Condition.READY]
@@ -97,9 +98,13 @@
         if newest is not None and newest.condition is Condition.READY:
             for act in acts:
                 if isinstance(act, Send) and act.trip.number == 0 and act.trip.unit is not newest:
-                    act.trip.unit = newest
+                    self._meant[act.trip], act.trip.unit = act.trip.unit, newest
         return acts  # type: ignore[no-any-return]
 
+    def ended(self, trip: Trip, fate: Fate, closed: bool, took: int, report: Report | None) -> None:
+        trip.unit = self._meant.pop(trip, trip.unit)
+        self._decisions.ended(trip, fate, closed, took, report)
+
 
 class Exposure(Seam):
     """Takes every build for a released one."""
--- a/lanelead/standins/server.py
+++ b/lanelead/standins/server.py
@@ -19,8 +19,8 @@
         self._reader = AskReader(65536, 64 << 20)
         self.transport: asyncio.Transport | None = None
         self.lost: list[Callable[[], None]] = []
-        self.peer = ""
-        self.paused = False
+        self.heard_at = 0.0  # when the last request came
+        self.deaf = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport) or hasattr(transport, "write")
--- a/lanelead/standins/unit.py
+++ b/lanelead/standins/unit.py
@@ -171,6 +171,12 @@
             return
         if self.fallen:
             return  # it reads, and never answers
+        reap = self._faults.get("idle_reap")
+        now, last = clock(), caller.heard_at
+        caller.heard_at = now
+        if caller.deaf or (reap is not None and last and now - last > reap["size"]):
+            caller.deaf = True  # dropped unseen while it was idle: whatever comes on it is lost
+            return
         job = Job(caller, ask)
         warmth = self._warmth()
         self._tap.note(
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,212 @@
+"""A short day on loopback, played, judged and judged again; and days that came from the bench."""
+
+from __future__ import annotations
+
+import copy
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from click.testing import CliRunner
+
+from lanelead.cli import main
+from lanelead.days.commands import load
+from lanelead.days.frombench import MAKERS, NotADay, script, written
+from lanelead.settings.read import read_text
+from lanelead.settings.records import Day
+
+SHORT = """
+day: #Town & {
+	name: "short"
+	says: "two stages of a build, a unit killed, one drained, a relay killed"
+	seconds: 7
+	units: count: 6
+	clients: rate: 50
+	slack_ms: 2000
+	service: duties: early_ms: 100
+	desk: offers: [{at: 0.5}]
+	events: [
+		{at: 1, kind: "kill", unit: 3, for: 1.5}
+		{at: 1.5, kind: "drain", unit: 5, for: 1}
+		{at: 2, kind: "relay_kill", relay: 1, for: 0.5}
+	]
+}
+""".replace("}\n\t\t{", "},\n\t\t{")
+
+
+class Played(unittest.TestCase):
+    def test_a_short_day_keeps_the_rules_and_its_capture_gives_the_same_verdict_again(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            (folder / "short.cue").write_text(SHORT)
+            args = ["day", "play", str(folder / "short.cue"), "--quiet", "--capture", str(folder / "capture")]
+            first = CliRunner().invoke(main, [*args, "--verdict", str(folder / "1.json")])
+            self.assertEqual(first.exit_code, 0, first.output)
+            again = CliRunner().invoke(
+                main, ["day", "judge", str(folder / "capture"), "--verdict", str(folder / "2.json")]
+            )
+            self.assertEqual(again.exit_code, 0)
+            one, two = (json.loads((folder / f"{n}.json").read_text()) for n in (1, 2))
+            self.assertEqual(one, two)
+            for rule in ("answers", "effects", "drains", "exposure"):
+                self.assertGreater(one["rules"][rule]["seen"], 0, rule)
+            self.assertGreater(one["done"], 100)
+
+    def test_bad_input_ends_with_2_and_says_why(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name, "bad.cue")
+            path.write_text(SHORT.replace('"kill"', '"kil"'))
+            for args in (
+                ["check", str(path)],
+                ["day", "play", str(path)],
+                ["day", "judge", name],
+                ["relay", "--settings", str(path)],
+                ["day", "play", "no-such-day"],
+            ):
+                found = CliRunner().invoke(main, args)
+                self.assertEqual(found.exit_code, 2, args)
+                self.assertTrue(found.output or found.stderr)
+
+
+def bench_day(*troubles: dict[str, Any]) -> dict[str, Any]:
+    """A day in the bench's form, written here after its published fields."""
+    lane = {
+        "share": 0.6,
+        "work": 200000.0,
+        "aim": 1500000,
+        "deadline": 6000000,
+        "worth": 1.0,
+        "late_worth": 0.2,
+        "group": "all",
+        "window": 5000000,
+        "stream": False,
+        "cv": 0.6,
+    }
+    kind = {"cores": 2, "queue": 30, "cold_from": 0.5, "cold": 3000000, "error_rate": 0.0003}
+    return {
+        "site": "s",
+        "kind": "trouble",
+        "length": 60000000,
+        "zones": ["a", "b"],
+        "drain_grace": 2000000,
+        "fall_multiple": 4.0,
+        "fall_for": 1000000,
+        "traffic": {"load": 0.6, "keys": 0},
+        "clients": {"retries": 1, "try_share": 0.6, "honour": 0.8, "backoff_us": 2000.0},
+        "discovery": {"add": 1000000, "silent_notice": 10000000},
+        "allow": {"max_attempts": 3, "cancel": True, "probes": True, "second_copies": True},
+        "classes": [{"name": "read", "effect": "safe", **lane}, {"name": "file", "effect": "unsafe", **lane}],
+        "tenants": [{"name": "m", "share": 1.0, "quota": 0.8}],
+        "tiers": [
+            {"kinds": [kind], "report_period": 200000, "stated_cold_from": 0.4, "stated_cold": 4000000}
+        ],
+        "balancers": [{}] * 150,
+        "fam": {
+            "places": 20,
+            "boot": 2000000,
+            "told_late": 500000,
+            "push": 2000000,
+            "stages": [0.1, 1.0],
+            "caps": [0.12, 1.0],
+            "free": 3.0,
+            "window": 3000000,
+            "by_class": False,
+            "guarded": 0,
+            "one_way": False,
+            "beside": True,
+            "votes": [0.0, 0.2, 0.0],
+            "control": "any",
+            "bake": 1000000,
+            "step": 0,
+            "call_timeout": 800000,
+            "vote_life": 6000000,
+            "calls_per_s": 200.0,
+            "behind_price": 0.35,
+            "harm_price": 6.0,
+            "flag_share": 0.0,
+            "releases": [{"at": 5000000, "bad": "class", "class": 1, "speed": 1.0, "strength": 0.5}],
+        },
+        "troubles": list(troubles),
+    }
+
+
+def trouble(kind: str) -> dict[str, Any]:
+    return {"kind": kind, "at": 9000000, "len": 5000000, "size": 0.5, "extra": 0.5, "on": [1, 2], "which": 0}
+
+
+class FromBench(unittest.TestCase):
+    def test_every_kind_that_is_known_becomes_an_event_of_a_good_script(self) -> None:
+        for kind in MAKERS:
+            record, said = script(msgspec.json.encode(bench_day(trouble(kind))), "d")
+            day = read_text(written(record, said), "d")
+            assert isinstance(day, Day)
+            self.assertEqual(len(day.events), 1, kind)
+            self.assertIn("14 units in place of 20", said)
+            self.assertEqual((day.desk.offers[0].bad, day.desk.offers[0].lane), ("lane", "file"))
+
+    def test_what_cannot_be_carried_over_is_said_by_name(self) -> None:
+        _, said = script(msgspec.json.encode(bench_day(trouble("meteor"))), "d")
+        self.assertIn("cannot be carried over: meteor", said)
+
+    def test_every_kind_of_the_recorded_troubles_has_a_script_of_ours(self) -> None:
+        days = [
+            "crash",
+            "vanish",
+            "slow",
+            "fast-errors",
+            "neighbour",
+            "burst",
+            "tenant-burst",
+            "hot-key",
+            "hot-caller",
+            "heavy-tail",
+            "balancer-roll",
+            "control-down",
+            "peer-down",
+            "false-reports",
+            "give-up",
+            "retry-abuse",
+            "bad-requests",
+            "slow-class",
+            "idle-reap",
+            "conn-squeeze",
+            "bad-build-errors",
+        ]
+        for name in days:
+            self.assertTrue(load(name).says)
+        self.assertEqual(
+            set(MAKERS) | {"bad_build"}, {name.replace("-", "_") for name in days[:-1]} | {"bad_build"}
+        )
+
+    def test_any_field_missing_or_of_another_kind_is_refused_not_a_crash(self) -> None:
+        whole = bench_day(trouble("crash"))
+
+        def spoilt(node: Any, path: list[Any]) -> None:
+            for key in list(node.keys()) if isinstance(node, dict) else range(len(node)):
+                values: list[Any] = [None, "x", []]
+                for value in values:
+                    copy_ = copy.deepcopy(whole)
+                    place: Any = copy_
+                    for step in path:
+                        place = place[step]
+                    place[key] = value
+                    try:
+                        record, _ = script(msgspec.json.encode(copy_), "d")
+                    except NotADay as fault:
+                        self.assertTrue(str(fault))
+                    else:
+                        self.assertIn("day", record)
+                if isinstance(node[key], dict | list) and key != "balancers":
+                    spoilt(node[key], [*path, key])
+
+        spoilt(whole, [])
+        for text in (b"", b"[]", b"1", b"{"):
+            with self.assertRaises(NotADay):
+                script(text, "d")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,235 @@
+"""Stories of the HTTP edges: what all read alike, what is refused, and that no bytes bring them down."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lanelead.http import writing
+from lanelead.http.answers import AnswerReader, Progress
+from lanelead.http.asks import Ask, AskReader, Event, Expecting, Refusal, State
+
+HOST = b"Host: a\r\n"
+
+
+def asks(data: bytes, cut: int = 0, head: int = 2000, body: int = 1000) -> list[Event]:
+    reader = AskReader(head, body)
+    return [event for part in ((data[:cut], data[cut:]) if cut else (data,)) for event in reader.feed(part)]
+
+
+class Asking(unittest.TestCase):
+    def test_bodies_by_length_and_by_chunk_and_pipelined_requests(self) -> None:
+        text = b"POST /a HTTP/1.1\r\n" + HOST + b"Content-Length: 3\r\n\r\nabc"
+        text += (
+            b"PUT /b HTTP/1.1\r\n"
+            + HOST
+            + b"Transfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+        )
+        text += b"HEAD /c HTTP/1.1\r\n" + HOST + b"Connection: close\r\n\r\n"
+        for cut in range(len(text)):
+            found = asks(text, cut)
+            rows = [(e.method, e.target, e.body, e.keep) for e in found if isinstance(e, Ask)]
+            expected = [
+                ("POST", b"/a", b"abc", True),
+                ("PUT", b"/b", b"def", True),
+                ("HEAD", b"/c", b"", False),
+            ]
+            self.assertEqual(rows, expected, cut)
+
+    def test_what_two_readers_could_read_differently_is_refused_and_nothing_behind_it_is_read(self) -> None:
+        hidden = b"GET /hidden HTTP/1.1\r\n" + HOST + b"\r\n"
+        cases = {
+            "both lengths": HOST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "lengths twice": HOST + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            "lengths in a list": HOST + b"Content-Length: 3, 3\r\n\r\nabc",
+            "a signed length": HOST + b"Content-Length: +3\r\n\r\nabc",
+            "a bad chunk size": HOST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+            "a hexadecimal mark": HOST + b"Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n",
+            "chunks ended by a bare LF": HOST + b"Transfer-Encoding: chunked\r\n\r\n1\na\n0\n\n",
+            "another coding": HOST + b"Transfer-Encoding: xchunked\r\n\r\n",
+            "chunked not last": HOST + b"Transfer-Encoding: chunked, identity\r\n\r\n",
+            "obs-fold": HOST + b"X: a\r\n b\r\n\r\n",
+            "a bare LF": HOST[:-2] + b"\nX: b\r\n\r\n",
+            "a bare CR": HOST[:-2] + b"\rX: b\r\n\r\n",
+            "space before the colon": b"Host : a\r\n\r\n",
+            "a null": b"Host: a\0b\r\n\r\n",
+            "no host": b"X: a\r\n\r\n",
+            "two hosts": HOST + HOST + b"\r\n",
+        }
+        for name, rest in cases.items():
+            found = asks(b"POST / HTTP/1.1\r\n" + rest + hidden)
+            self.assertEqual([type(event) for event in found], [Refusal], name)
+            self.assertEqual(getattr(found[0], "status", 0), 400, name)
+
+    def test_versions_bounds_and_expectations(self) -> None:
+        cases = [
+            (b"GET / HTTP/2.0\r\n" + HOST + b"\r\n", 505),
+            (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n" + HOST + b"X: " + b"x" * 3000 + b"\r\n\r\n", 431),
+            (b"GET /" + b"x" * 3000 + b" HTTP/1.1\r\n" + HOST + b"\r\n", 431),
+            (b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 1001\r\n\r\n", 413),
+            (b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: " + b"9" * 30 + b"\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n" + HOST + b"Expect: tea\r\n\r\n", 417),
+            (b"GET / HTTP/1.1\r\n" + HOST + b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n", 501),
+        ]
+        for text, status in cases:
+            self.assertEqual([getattr(event, "status", 0) for event in asks(text)], [status], text[:40])
+        chunks = (
+            b"POST / HTTP/1.1\r\n"
+            + HOST
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"1ff\r\n"
+            + b"x" * 511
+            + b"\r\n"
+        )
+        found = asks(chunks + b"1ff\r\n" + b"x" * 511 + b"\r\n")
+        self.assertEqual([getattr(event, "status", 0) for event in found], [413])
+
+    def test_an_endless_field_is_cut_off(self) -> None:
+        reader, found = AskReader(1000, 1000), list[Event]()
+        reader.feed(b"GET / HTTP/1.1\r\nX: ")
+        for _ in range(200):
+            found += reader.feed(b"x" * 1000)
+        self.assertEqual([getattr(event, "status", 0) for event in found], [431])
+        self.assertIs(reader.state, State.OVER)
+
+    def test_a_client_that_waits_for_100_continue_is_told_of_unless_its_body_came_along(self) -> None:
+        head = b"POST / HTTP/1.1\r\n" + HOST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        self.assertEqual([type(event) for event in asks(head + b"ab")], [Ask])
+        self.assertEqual([type(event) for event in asks(head + b"ab", len(head))], [Expecting, Ask])
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        st.binary(max_size=300)
+        | st.lists(
+            st.sampled_from(
+                [
+                    b"GET / HTTP/1.1\r\n",
+                    HOST,
+                    b"\r\n",
+                    b"Content-Length: 5\r\n",
+                    b"5\r\nabcde\r\n",
+                    b"0\r\n",
+                    b"Transfer-Encoding: chunked\r\n",
+                    b" ",
+                    b"\n",
+                    b"x",
+                    b":",
+                ]
+            ),
+            max_size=12,
+        ).map(b"".join),
+        st.integers(0, 50),
+    )
+    def test_no_bytes_bring_it_down_and_how_they_are_cut_changes_nothing(self, data: bytes, cut: int) -> None:
+        def shown(found: list[Event]) -> list[object]:
+            rows = [event for event in found if not isinstance(event, Expecting)]
+            return [(e.method, e.target, e.headers, e.body) if isinstance(e, Ask) else type(e) for e in rows]
+
+        self.assertEqual(shown(asks(data)), shown(asks(data, cut)))
+
+
+class Answering(unittest.TestCase):
+    def read(self, data: bytes, head: bool = False, cut: int = 0) -> tuple[Progress, AnswerReader]:
+        reader, progress = AnswerReader(1000), Progress.WAITING
+        reader.expect(head)
+        for part in (data[:cut], data[cut:]) if cut else (data,):
+            progress = reader.feed(part) if part and progress is Progress.WAITING else progress
+        return progress, reader
+
+    def test_by_length_by_chunk_by_close_and_to_head(self) -> None:
+        cases = [
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", False, b"ab", True),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                False,
+                b"ab",
+                True,
+            ),
+            (b"HTTP/1.1 204 No Content\r\n\r\n", False, b"", True),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", True, b"", False),
+            (
+                b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+                False,
+                b"ab",
+                True,
+            ),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab", False, b"ab", False),
+        ]
+        for text, head, body, keep in cases:
+            for cut in range(len(text)):
+                progress, reader = self.read(text, head, cut)
+                self.assertIs(progress, Progress.WHOLE, text)
+                assert reader.answer is not None
+                self.assertEqual((reader.answer.body, reader.answer.keep), (body, keep))
+        progress, reader = self.read(b"HTTP/1.1 200 OK\r\n\r\nab")
+        self.assertEqual(
+            (progress, reader.eof(), reader.answer and reader.answer.body),
+            (Progress.WAITING, Progress.WHOLE, b"ab"),
+        )
+
+    def test_an_answer_cut_short_is_none(self) -> None:
+        for text in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+            b"HTTP/1.1 200 OK\r\nConten",
+            b"",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        ):
+            _, reader = self.read(text) if text else (None, AnswerReader(10))
+            self.assertEqual((reader.eof(), reader.answer), (Progress.BROKEN, None))
+
+    def test_garbage_too_much_and_two_answers_to_one_request_are_broken(self) -> None:
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+        for text in (
+            b"HTP/1.1 200\r\n\r\n",
+            whole + whole,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000,
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        ):
+            self.assertIs(self.read(text)[0], Progress.BROKEN, text[:30])
+
+    def test_one_reader_serves_many_answers_of_a_kept_connection(self) -> None:
+        reader = AnswerReader(1000)
+        for number in range(3):
+            reader.expect(False)
+            body = b"%d" % number
+            self.assertIs(reader.feed(writing.answer(200, (), body)), Progress.WHOLE)
+            self.assertEqual(reader.answer and reader.answer.body, body)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.binary(max_size=200) | st.binary(max_size=30).map(lambda tail: b"HTTP/1.1 200 OK\r\n" + tail))
+    def test_no_bytes_bring_it_down(self, data: bytes) -> None:
+        _, reader = self.read(data)
+        reader.eof()
+
+
+class Writing(unittest.TestCase):
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.sampled_from(["GET", "POST", "PUT", "DELETE"]), st.binary(max_size=200), st.integers(200, 599))
+    def test_what_is_written_is_read_back(self, method: str, body: bytes, status: int) -> None:
+        sent = body if method in ("POST", "PUT") else b""
+        fields = [(b"host", b"a"), (b"x-y", b"z")]
+        (ask,) = asks(writing.request(method, b"/p?q", fields, sent))
+        assert isinstance(ask, Ask)
+        self.assertEqual(
+            (ask.method, ask.target, ask.body, ask.header(b"x-y")), (method, b"/p?q", sent, b"z")
+        )
+        reader = AnswerReader(1000)
+        self.assertIs(reader.feed(writing.answer(status, [(b"x-y", b"z")], body)), Progress.WHOLE)
+        self.assertEqual(reader.answer and reader.answer.body, b"" if status in (204, 304) else body)
+
+    def test_fields_of_one_hop_and_those_that_connection_names_stay_behind(self) -> None:
+        fields = [
+            (b"connection", b"close, X-Mine"),
+            (b"x-mine", b"1"),
+            (b"te", b"trailers"),
+            (b"kept", b"2"),
+            (b"ours", b"3"),
+        ]
+        self.assertEqual(list(writing.passed_on(fields, frozenset((b"ours",)))), [(b"kept", b"2")])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,154 @@
+"""Stories of settings: what reads, what is refused, and that no text brings the reader down."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lanelead.days.commands import scripts
+from lanelead.settings import cue
+from lanelead.settings.cue import Unfit
+from lanelead.settings.read import read, read_text
+from lanelead.settings.records import Day, Relay
+
+GOOD = """
+relay: {
+	number: 0, relays: 3, zone: "north"
+	listen: port: 0
+	service: lanes: [{name: "a", methods: ["GET"], prefix: "/", repeat: "pure"
+		expected_time_ms: 100, outer_limit_ms: 1000}]
+	roster: address: port: 7001
+	desk: address: port: 7002
+}
+"""
+
+
+def relay(text: str = GOOD) -> Relay:
+    record = read_text(text, "f")
+    assert isinstance(record, Relay)
+    return record
+
+
+def value(text: str) -> Any:
+    reader = cue.Reader("f", {})
+    whole = reader.whole(cue.parse(text, "f"))
+    faults = reader.faults
+    result = cue.plain(whole, "", faults, {})
+    if faults:
+        raise Unfit(faults)
+    return result
+
+
+class Reading(unittest.TestCase):
+    def faults(self, text: str) -> list[str]:
+        with self.assertRaises(Unfit) as caught:
+            read_text(text, "f")
+        return [str(fault) for fault in caught.exception.faults]
+
+    def test_defaults_are_filled_in_and_the_record_is_typed(self) -> None:
+        record = relay()
+        self.assertEqual((record.service.allowance.trips, record.listen.host), (3, "127.0.0.1"))
+        self.assertEqual(record.service.lanes[0].figures().expected_time, 1000)
+
+    def test_every_fault_is_told_at_once_with_line_column_field_and_what_was_expected(self) -> None:
+        text = GOOD.replace("relays: 3", 'relays: "x"').replace("number: 0", "number: -1")
+        text = text.replace('repeat: "pure"', 'repeat: "puer"').replace("zone:", "zoen:")
+        found = self.faults(text)
+        self.assertEqual(len(found), 4)
+        self.assertIn('f:3:22: relay.relays: found "x", expected int & >=1 & <=65536', found[1])
+        self.assertIn("an unknown field", found[2])
+        self.assertIn('"pure" | "receipted" | "effectful"', found[3])
+
+    def test_a_missing_field_is_named(self) -> None:
+        self.assertIn("relay.zone: found nothing", self.faults(GOOD.replace(', zone: "north"', ""))[0])
+
+    def test_what_no_field_can_say_alone_is_checked_too(self) -> None:
+        self.assertIn("no more than outer_limit_ms", self.faults(GOOD.replace("ms: 100,", "ms: 2000,"))[0])
+        self.assertIn("less than relay.relays", self.faults(GOOD.replace("number: 0", "number: 3"))[0])
+        members = (
+            'service: members: [{name: "m", quota: 1, share: 1, networks: ["10.0.0.0/40"]}]\n\tservice: lanes'
+        )
+        self.assertIn("an IP network", self.faults(GOOD.replace("service: lanes", members))[0])
+        trial = "service: trial: caps: [0.5, 0.1, 1, 1]\n\tservice: lanes"
+        self.assertIn("never fall", self.faults(GOOD.replace("service: lanes", trial))[0])
+
+    def test_a_syntax_fault_names_its_place(self) -> None:
+        self.assertIn("f:2:9:", self.faults("relay: {\n\tnumber:: 3\n}")[0])
+        self.assertIn("a comma or a new line", self.faults("relay: {number: 0 relays: 1}")[0])
+        self.assertIn("levels at most", self.faults("relay: " + "{a: " * 60 + "1" + "}" * 60)[0])
+
+    def test_a_file_that_cannot_be_read_is_a_fault_not_a_crash(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "f.cue")
+            path.write_bytes(b"\xff\xfe")
+            for name in (path, Path(folder, "absent.cue")):
+                with self.assertRaises(Unfit):
+                    read(name)
+
+    def test_all_days_of_ours_are_good(self) -> None:
+        for path in scripts().values():
+            self.assertIsInstance(read(path), Day)
+
+
+class Language(unittest.TestCase):
+    def test_values_unify_and_references_find_the_nearest_name(self) -> None:
+        text = 'a: >=1 & <=5\na: 3\nb: {c: a, d: c}\n#D: {x: int, y: string | *"z"}\n'
+        text += 'e: #D & {x: 0x10}\nf: "g": [1, 2K]'
+        found = value(text)
+        self.assertEqual(found["b"], {"c": 3, "d": 3})
+        self.assertEqual((found["e"], found["f"]), ({"x": 16, "y": "z"}, {"g": [1, 2000]}))
+
+    def test_what_leads_back_to_itself_is_a_fault(self) -> None:
+        for text in ("a: b\nb: a", "a: {b: a}", "#A: {x: #A}\nv: #A"):
+            with self.assertRaises(Unfit):
+                value(text)
+
+    def test_closed_structs_patterns_and_disjunctions(self) -> None:
+        self.assertEqual(value('#M: {[string]: int}\nm: #M & {a: 1, "b c": 2}')["m"], {"a": 1, "b c": 2})
+        self.assertEqual(
+            value('a: ({k: "x", v: int} | {k: "y", w: int}) & {k: "y", w: 1}')["a"], {"k": "y", "w": 1}
+        )
+        for text in (
+            "#A: {x: 1}\na: #A & {y: 2}",
+            'a: ("x" | "y") & "z"',
+            "a: true & 1",
+            "a: int & 1.5",
+            "a: [1] & [1, 2]",
+        ):
+            with self.assertRaises(Unfit, msg=text):
+                value(text)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        st.recursive(
+            st.none()
+            | st.booleans()
+            | st.integers(-(10**12), 10**12)
+            | st.floats(allow_nan=False, allow_infinity=False)
+            | st.text(max_size=8),
+            lambda inner: st.lists(inner, max_size=4)
+            | st.dictionaries(st.text("abcxyz_# -", min_size=1, max_size=6), inner, max_size=4),
+            max_leaves=12,
+        )
+    )
+    def test_json_is_read_as_it_stands(self, data: Any) -> None:
+        self.assertEqual(value(json.dumps({"top": data}, ensure_ascii=False)), {"top": data})
+
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(st.text(alphabet='ab#_:{}[]"|&*<>=!~.,()?/\n\t 0123456789-+eK\\é', max_size=60))
+    def test_no_text_brings_the_reader_down(self, text: str) -> None:
+        for read_ in (lambda: value(text), lambda: read_text(GOOD + text, "f")):
+            try:
+                read_()
+            except Unfit as unfit:
+                self.assertTrue(all(fault.spot.line >= 1 and fault.expected for fault in unfit.faults))
+
+
+if __name__ == "__main__":
+    unittest.main()
