--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -188,6 +188,16 @@
     over_share: float  # what a lookup beyond its member's share is worth, as a part of the usual
 
 
+@dataclass(frozen=True)
+class Preference:
+    """Which zones' units a relay prefers, tier after tier, and how traffic may spill. None: all are one."""
+
+    tiers: tuple[tuple[str, ...], ...] = ()
+    most: float = 0.75  # of what a tier's units would do for this relay, the part that its strangers may have
+    grow: float = 1.0  # times the longest expected time, for spill to grow from none to all
+    shrink: float = 2.0  # times the warm-up, for it to shrink from all to none
+
+
 # What passes through
 
 
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -15,11 +15,12 @@
 
 from lanelead.interface import (
     Act, Allowance, BreakOff, CallOff, Close, Condition, Control, Coverage, Duties, Fate, Fetch, Lane,
-    Listing, Lookup, Member, News, Note, Phase, Place, Poll, Probe, Repeat, Report, Scope, Send, Shed,
-    Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
+    Listing, Lookup, Member, News, Note, Phase, Place, Poll, Preference, Probe, Repeat, Report, Scope, Send,
+    Shed, Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
 )
 from lanelead.server import Server, mine
 from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed
+from lanelead.zones import ANYWHERE, Spill
 
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
@@ -329,6 +330,7 @@
     def __init__(
         self, place: Place, lanes: Sequence[Lane], members: Sequence[Member], allowance: Allowance,
         duties: Duties, trial: Trial, poll: Poll, tariff: Tariff, chance: Random, now: Ticks,
+        preference: Preference = ANYWHERE,
     ) -> None:
         self.now, self.acts = now, list[Act]()
         self._allowance, self._duties, self._trial = allowance, duties, trial
@@ -343,6 +345,7 @@
         self._quotas, self._relays = sum(member.quota for member in members), place.relays
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._health = Health(duties, least // 2, 2 * self._longest, chance)
+        self._spill = Spill(preference, duties, self._longest, self._beat, chance)
         self._lost, self._waiting = Fading(10 * SECOND), dict[Lookup, float]()  # waiting: with its worth
         fares = [(member, lane) for member in [*members, None] for lane in lanes]
         self._fares = {fare: (Fading(4 * SECOND), Fading(4 * SECOND)) for fare in fares}  # ended, and timely
@@ -415,6 +418,9 @@
     def _count(self, server: Server, lane: Lane, faults: dict[Fault, int], outcomes: int, tell: bool) -> None:
         # One relay sees too few, so they are told; those at earlier servers too, which judged on less
         # evidence would hide a trouble of both builds.
+        self._spill.note(server, outcomes, sum(n for f, n in faults.items() if f not in HARD), self.now)
+        if self._spill.troubled(server):
+            faults = {fault: many for fault, many in faults.items() if fault in HARD}
         self._scoring.record(server, lane, faults, self.now, outcomes)
         self._trips.add(self.now, outcomes - faults.get(Fault.BROKEN, 0))  # quick errors keep nobody busy
         if tell and self._allowance.peers:
@@ -450,6 +456,8 @@
             self.acts += [Tell(peer, told) for peer in self._circle.listeners()]
             self._untold.clear()
         news, ready = self._exposure.news, self._roster.ready
+        trial = news is not None and news.phase is Phase.TRIAL
+        self._spill.beat(ready, self._rate.read(self.now) / 4, trial, self.now)
         if news is None or not (new := self._roster.groups.get(news.build)):
             return
         self._margin, _ = self._scoring.read(ready, self.now)
@@ -528,7 +536,8 @@
 
     def _choose(self, lookup: Lookup, asked: Sequence[Server] = ()) -> list[Server]:  # two, the better first
         allows, new = self._exposure.allows, list[Server]()  # builds that were asked in vain come last
-        pools = [some for build, some in self._roster.groups.items() if allows(build, lookup, self.now)]
+        groups = self._spill.cut(self._roster.groups, lookup)
+        pools = [some for build, some in groups.items() if some and allows(build, lookup, self.now)]
         pools.sort(key=lambda servers: any(server in servers for server in asked))
         while pools and not new:
             new = self._two(pools.pop(0), lookup, asked)
@@ -628,6 +637,7 @@
         lookup.trips.append(trip)
         server.out[trip] = None
         self._exposure.spend(server.build, lookup, self.now)
+        self._spill.spend(server)
         server.cold_sends.append(self.now)
         self.acts.append(Send(trip))
 
@@ -643,6 +653,7 @@
         if lookup.over:
             return
         lookup.over = True
+        self._spill.left(lookup)
         for table in (self._journeys, self._waiting, self._resume, self._asking):
             table.pop(lookup, None)
         for trip in lookup.trips:
--- /dev/null
+++ b/lanelead/zones.py
@@ -0,0 +1,154 @@
+"""Which zones a lookup may go to: a lost zone's traffic spills to the next tier by measure, and returns.
+
+`Spill` sits inside a `Relay`, which tells it what trips came to and asks it for the tiers open to a lookup;
+docs/zones.md has the mechanism. Without tiers all units are one, and nothing is decided here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from random import Random
+
+from lanelead.interface import Condition, Duties, Lookup, Preference, Repeat, Ticks
+from lanelead.server import Server
+from lanelead.sums import Fading
+
+ANYWHERE = Preference()
+
+
+class Tier:
+    """Some zones that stand equal, as one relay sees them."""
+
+    def __init__(self, span: Ticks) -> None:
+        self.full, self.present = 0.0, 0.0  # the size it had lately, and what of it is there and warm
+        self.ended, self.bad = Fading(span), Fading(span)  # outcomes, and those a full or lost tier gives
+        self.gone = 0.0  # the part of its lookups that are to pass it by
+        self.grant, self.held = 0.0, 0.0  # strangers let in: the part of the limit, and trips that may go now
+        self.distrust, self.failing = 0.0, False
+
+
+class Spill:
+    def __init__(
+        self, preference: Preference, duties: Duties, longest: Ticks, beat: Ticks, chance: Random,
+    ) -> None:
+        self._wants, self._duties, self._chance = preference, duties, chance
+        self._longest, self._beat, self._rate, self._beats = longest, beat, 0.0, 0
+        self.tiers = [Tier(2 * longest) for _ in preference.tiers]
+        self._place = {zone: place for place, zones in enumerate(preference.tiers) for zone in zones}
+        self._draws = dict[Lookup, float]()
+
+    def place(self, server: Server) -> int:  # zones that no tier names come with the last
+        return self._place.get(server.zone, len(self.tiers) - 1)
+
+    def note(self, server: Server, outcomes: int, bad: int, now: Ticks) -> None:
+        if self.tiers:
+            tier = self.tiers[self.place(server)]
+            tier.ended.add(now, outcomes)
+            tier.bad.add(now, bad)
+
+    def troubled(self, server: Server) -> bool:
+        """Guards against blaming a build for its zone: slowness in a lost or full tier is the tier's."""
+        return bool(self.tiers) and self.tiers[self.place(server)].gone > 0.25
+
+    def left(self, lookup: Lookup) -> None:
+        self._draws.pop(lookup, None)
+
+    def beat(self, servers: Iterable[Server], rate: float, trial: bool, now: Ticks) -> None:
+        """Brings what is known of each tier up to date; called once a beat. `rate`: lookups taken a second,
+        `trial`: a build is on trial, whose machines may stand beside the others for a while."""
+        if not self.tiers:
+            return
+        steps = self._beat / max(1, self._duties.cold_time)
+        sizes, silent = [0.0] * len(self.tiers), [0] * len(self.tiers)
+        for server in servers:
+            if server.condition is Condition.READY:
+                place = self.place(server)
+                sizes[place] += server.size * self._warmth(server, now)
+                late = (trip for trip in server.out if now - trip.sent > trip.lookup.lane.expected_time)
+                silent[place] += sum(1 for _ in late)
+        troubled = any(tier.gone > 0 for tier in self.tiers)
+        # What is usual is learnt while all is well: lookups that a lost zone has tried again are no demand.
+        self._beats += 1
+        self._rate += (rate - self._rate) * max(1 / self._beats, steps / (20 if troubled else 2))
+        for place, tier in enumerate(self.tiers):
+            # Learnt over some warm-ups, or what a release drains would look like a lost zone; and forgotten
+            # over a hundred, for a tier may shrink for good.
+            if sizes[place] > tier.full and not trial:
+                tier.full += (sizes[place] - tier.full) * max(1 / self._beats, steps / 5)
+            else:
+                tier.full -= max(0.0, tier.full - sizes[place]) * steps / 100
+            tier.present = min(sizes[place], tier.full)
+            self._judge(tier, silent[place], steps, now)
+            self._admit(place, tier, now)
+
+    def _warmth(self, server: Server, now: Ticks) -> float:
+        age, duties = now - server.since, self._duties
+        if server.since <= 0 or age >= duties.cold_time:
+            return 1.0
+        return duties.cold_share + (1 - duties.cold_share) * max(0, age) / max(1, duties.cold_time)
+
+    def _judge(self, tier: Tier, silent: int, steps: float, now: Ticks) -> None:
+        listed = 1 - tier.present / tier.full if tier.full else 1.0
+        ended, bad = tier.ended.read(now) + silent, tier.bad.read(now) + silent
+        # A tenth is left to chance and to machines of its own; few outcomes prove nothing of a whole tier.
+        seen = max(0.0, bad / ended - 0.1) / 0.9 if ended >= 4 else 0.0
+        target, self_paced = max(listed, seen), self._chance.uniform(0.5, 1.5)
+        if target > tier.gone:
+            rise = self._beat / (self._wants.grow * self._longest) * self_paced
+            tier.gone = min(target, tier.gone + rise)
+            if target > 0.5 and not tier.failing:  # it fails once more: trusted more slowly, up to a bound
+                tier.failing, tier.distrust = True, min(3.0, tier.distrust + 1)
+        else:
+            fall = steps / (self._wants.shrink * max(1.0, tier.distrust)) * self_paced
+            tier.gone = max(target, tier.gone - fall)
+            if tier.gone < 0.1:
+                tier.failing, tier.distrust = False, max(0.0, tier.distrust - steps / 10)
+
+    def limit(self, place: int) -> float:
+        """Trips a second that strangers from here may make at a tier: the stated part of what its units
+        would do for this relay if they were its own."""
+        home, tier = self.tiers[0], self.tiers[place]
+        return self._wants.most * self._rate * tier.present / home.full if home.full else self._rate
+
+    def _admit(self, place: int, tier: Tier, now: Ticks) -> None:
+        ended, bad = tier.ended.read(now), tier.bad.read(now)
+        step = self._beat / (self._wants.grow * self._longest) * self._chance.uniform(0.5, 1.5)
+        if ended >= 4 and bad > 0.2 * ended:
+            tier.grant = max(0.05, tier.grant * (1 - step))
+        elif any(before.gone > 0 for before in self.tiers[:place]):
+            tier.grant = min(1.0, max(0.25, tier.grant) * (1 + step))
+        else:
+            tier.grant = max(0.25, tier.grant * (1 - step))
+        # Parts of a trip add up, by lot: hundreds of relays that each sent "just one" would be a crowd. What
+        # is held lasts for half an expected time, or thin traffic, which comes in bunches, could not use it.
+        more = tier.grant * self.limit(place) * self._beat / 10_000
+        most = max(3.0, more * self._longest / self._beat / 2)
+        tier.held = min(most, tier.held + more * self._chance.uniform(0.5, 1.5))
+
+    def open(self, lookup: Lookup) -> Sequence[int] | None:
+        """The places of the tiers that a lookup may use now, the first the better; none: all."""
+        if len(self.tiers) < 2:
+            return None
+        draw = self._draws.setdefault(lookup, self._chance.random())
+        tried = {self._place.get(trip.unit.zone, len(self.tiers) - 1) for trip in lookup.trips}
+        if lookup.trips and lookup.lane.repeat is Repeat.RECEIPTED:
+            return sorted(tried)  # its group may be the zone: a repeat never spills
+        for place, tier in enumerate(self.tiers):
+            # What may not run twice is no lookup to try a tier with that seems lost.
+            risky = tier.gone > 0.9 and lookup.lane.repeat is not Repeat.PURE
+            allowed = (place == 0 or tier.held >= 1) and not risky and place not in tried
+            if allowed and draw >= tier.gone:
+                return [place]
+            draw = draw / tier.gone if tier.gone > 0 and draw < tier.gone else draw
+        # Where no other may have it, one that was tried may; else it waits, and is shed.
+        return sorted(tried)
+
+    def spend(self, server: Server) -> None:
+        if self.tiers and (place := self.place(server)):
+            self.tiers[place].held -= 1
+
+    def cut(self, pools: Mapping[int, list[Server]], lookup: Lookup) -> Mapping[int, list[Server]]:
+        """The units of each build that stand in a tier open to the lookup."""
+        if (open_ := self.open(lookup)) is None:
+            return pools
+        return {build: [s for s in some if self.place(s) in open_] for build, some in pools.items()}
