--- a/lanelead/days/fleet.py
+++ b/lanelead/days/fleet.py
@@ -234,6 +234,11 @@
             return [machine for machine in running if machine.place == unit]
         return self._chance.sample(running, min(many, max(1, len(running) // 3), len(running)))
 
+    def of_zone(self, zone: str, part: float) -> list[Machine]:
+        """The running machines of a zone, or a part of them."""
+        mine = sorted((m for m in self.running() if m.zone == zone), key=lambda machine: machine.name)
+        return mine[: max(1, round(len(mine) * part))]
+
     async def kill(self, machine: Machine, back: float) -> None:
         """SIGKILL; it comes back cold at the same port after a time."""
         machine.hurt = True
--- a/lanelead/days/judge.py
+++ b/lanelead/days/judge.py
@@ -7,7 +7,11 @@
  exposure  a relay's trips at a build on trial within the free number and the cap of what it took
 
 Times are read at two ends of a socket, so each rule is judged with an allowance, `NEAR`, on the lenient side.
-A rule with nothing at stake is unproven, not kept.
+A rule with nothing at stake is unproven, not kept. Where the day has relays prefer their zones, two more
+are judged:
+
+ spill     a relay's trips outside its own zone within the stated part of what those units would do for it
+ returns   no returning unit sent more than its fresh-start load: what it can do as warm as it is
 """
 
 from __future__ import annotations
@@ -26,6 +30,7 @@
 NEAR = 0.2  # seconds that may lie between the two ends of a socket
 CASES = 20  # cases told of each rule
 RULES = ("answers", "effects", "drains", "cold", "exposure")
+ZONES = ("spill", "returns")
 Fact = dict[str, Any]
 
 
@@ -144,6 +149,10 @@
     _drains(capture, verdict.rules["drains"])
     _cold(capture, verdict.rules["cold"])
     _exposure(capture, verdict.rules["exposure"])
+    if capture.day.spill is not None:
+        verdict.rules |= {name: Finding() for name in ZONES}
+        _spill(capture, capture.day.spill, verdict.rules["spill"])
+        _returns(capture, verdict.rules["returns"])
     verdict.builds = _builds(capture)
     return verdict
 
@@ -309,6 +318,63 @@
         finding.breach(f"{fact['file'].removeprefix('unit-')}: fell over, sent {fact['work']:.2f} s of work")
 
 
+def _spill(capture: Capture, overflow: records.Overflow, finding: Finding) -> None:
+    """In every 3 s: the part `most` of what the others' units would do for the relay, were they its own,
+    and a few trips held. What is usual is read leniently: the relay's busiest 10 s so far."""
+    units, span, usual = capture.day.units, 3.0, 10.0
+    zone_of = {up["unit"]: up["zone"] for up in capture["up"]}
+    sizes = {zone: len(range(place, units.count, len(units.zones))) for place, zone in enumerate(units.zones)}
+    asked: dict[int, list[float]] = defaultdict(list)
+    for ask in capture["ask"]:
+        asked[ask["relay"]].append(ask["t"])
+    strangers: dict[int, list[float]] = defaultdict(list)
+    busiest: dict[int, float] = defaultdict(float)
+    for trip in capture["trip"]:
+        relay, t = trip["relay"], trip["t"]
+        home = units.zones[relay % len(units.zones)]
+        if zone_of[trip["file"].removeprefix("unit-")] == home or capture.still(trip):
+            continue
+        finding.seen += 1
+        strangers[relay].append(t)
+        many = len(strangers[relay]) - bisect_left(strangers[relay], t - span + NEAR)
+        lately = bisect_right(asked[relay], t) - bisect_left(asked[relay], t - usual)
+        busiest[relay] = max(busiest[relay], lately / usual)
+        others = sum(size for zone, size in sizes.items() if zone != home)
+        limit = overflow.most * busiest[relay] * others / max(1, sizes[home])
+        # A relay paces itself by steps with random parts, and holds what it may send for half an expected
+        # time.
+        allowed = 1.5 * limit * span + 5
+        if many > allowed:
+            finding.breach(
+                f"relay {relay}: trip {many} outside {home} in {span:g} s, of {allowed:.1f} allowed"
+            )
+
+
+def _returns(capture: Capture, finding: Finding) -> None:
+    span, mean = 2.0, max(work.ms for work in capture.day.clients.work) / 1000
+    trips: dict[str, list[Fact]] = defaultdict(list)
+    for trip in capture["trip"]:
+        trips[trip["file"]].append(trip)
+    for up in capture["up"]:
+        if not up["cold"]:
+            continue
+        rows = [trip for trip in trips[up["file"]] if up["t"] <= trip["t"] <= up["t"] + up["cold"]]
+        finding.seen += bool(rows)
+        start, total = 0, 0.0
+        for trip in rows:
+            total += trip["work"]
+            while rows[start]["t"] < trip["t"] - span:
+                total -= rows[start]["work"]
+                start += 1
+            warmth = up["cold_share"] + (1 - up["cold_share"]) * (trip["t"] - up["t"]) / up["cold"]
+            can = up["cores"] * up["speed"] * warmth * span
+            if total > can + 4 * mean:
+                finding.breach(
+                    f"{up['unit']}: sent {total:.2f} s of work in {span:g} s, when it could do {can:.2f}"
+                )
+                break
+
+
 @dataclass(slots=True)
 class Told:
     t: float
--- a/lanelead/days/play.py
+++ b/lanelead/days/play.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from lanelead.days.fleet import Fleet, Process, free_ports
+from lanelead.days.fleet import Fleet, Machine, Process, free_ports
 from lanelead.settings import records
 from lanelead.standins.capture import Tap, clock
 from lanelead.standins.clients import Crowd
@@ -182,6 +182,11 @@
                 },
             }
         }
+        if day.spill is not None:
+            mine = zones[number % len(zones)]
+            others = [zone for zone in zones if zone != mine]
+            spill = {"tiers": [[mine], *([others] if others else [])], **msgspec.to_builtins(day.spill)}
+            settings["relay"]["spill"] = spill
         self._files[number] = self.folder / f"relay-{number}.cue"
         self._files[number].write_bytes(msgspec.json.format(msgspec.json.encode(settings), indent=2))
 
@@ -265,7 +270,11 @@
             "stop": lambda machine: fleet.stop(machine, event.for_),
             "drain": lambda machine: fleet.drain_and_return(machine, event.for_),
         }
-        if event.kind in acts:
+        if event.kind.startswith("zone_"):
+            await asyncio.gather(
+                *(self._zone_event(event, m) for m in fleet.of_zone(event.zone or "", event.part))
+            )
+        elif event.kind in acts:
             await asyncio.gather(*(acts[event.kind](m) for m in fleet.choose(event.count, event.unit)))
         elif event.kind in AT_CLIENTS:
             assert self.clients is not None
@@ -307,6 +316,15 @@
                 *(fleet.fault(machine, event.kind, event.size, event.for_) for machine in machines)
             )
 
+    async def _zone_event(self, event: records.Event, machine: Machine) -> None:
+        fleet = self.fleet
+        if event.kind == "zone_lost":
+            await fleet.kill(machine, event.for_)
+        elif event.kind == "zone_silent":
+            await fleet.stop(machine, event.for_)
+        else:
+            await fleet.fault(machine, "slow", event.size, event.for_)
+
     async def _relays(self, event: records.Event) -> None:
         numbers = (
             list(range(self.day.relays))
--- /dev/null
+++ b/lanelead/model/policies.py
@@ -0,0 +1,76 @@
+"""Other ways to spill, for comparison only: same face as `lanelead.zones.Spill`, never used by a relay."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from lanelead.interface import Condition, Duties, Lookup
+from lanelead.server import Server
+from lanelead.zones import Pools
+
+Tiers = tuple[tuple[str, ...], ...]
+
+
+class NoSpill:
+    """A lookup stays in its own zone, whatever happens."""
+
+    def __init__(self, tiers: Tiers, duties: Duties, chance: Random) -> None:
+        self._tiers, self._chance = tiers, chance
+        self._place = {zone: place for place, zones in enumerate(tiers) for zone in zones}
+        self.health = [1.0] * len(tiers)
+        self._full = [0] * len(tiers)
+
+    def place(self, server: Server) -> int:
+        return self._place.get(server.zone, len(self._tiers) - 1)
+
+    def note(self, server: Server, outcomes: int, bad: int, now: int) -> None: ...
+    def left(self, lookup: Lookup) -> None: ...
+    def spend(self, server: Server) -> None: ...
+
+    def troubled(self, server: Server) -> bool:
+        return False
+
+    def beat(self, servers: Iterable[Server], rate: float, trial: bool, now: int) -> None:
+        here = [0] * len(self._tiers)
+        for server in servers:
+            # Healthy: listed, and not set aside by the relay's own outlier rule.
+            here[self.place(server)] += server.condition is Condition.READY and server.aside <= now
+        self._full = [max(full, many) for full, many in zip(self._full, here, strict=True)]
+        self.health = [many / full if full else 0.0 for many, full in zip(here, self._full, strict=True)]
+
+    def choose(self, lookup: Lookup) -> list[int]:
+        return [0]
+
+    def cuts(self, pools: Pools, lookup: Lookup) -> Iterator[Pools]:
+        open_ = self.choose(lookup)
+        yield {build: [s for s in some if self.place(s) in open_] for build, some in pools.items()}
+
+
+class AllAtOnce(NoSpill):
+    """The first tier that has any healthy unit takes all."""
+
+    def choose(self, lookup: Lookup) -> list[int]:
+        return [next((place for place, health in enumerate(self.health) if health > 0), 0)]
+
+
+class HealthShare(NoSpill):
+    """Envoy's priority levels: a level takes min(1, 1.4 x its healthy share), the next what is left; below a
+    total of one, in proportion; a level whose healthy share is under a half is in panic, and all its listed
+    units are used (Envoy's documentation, 'Priority levels' and 'Panic threshold')."""
+
+    def choose(self, lookup: Lookup) -> list[int]:
+        scores = [min(1.0, 1.4 * health) for health in self.health]
+        total = min(1.0, sum(scores))
+        if total <= 0:
+            return [0]
+        draw, left = self._chance.random(), 1.0
+        for place, score in enumerate(scores):
+            share = min(left, score / total)
+            if draw < share:
+                return [place]
+            draw, left = draw - share, left - share
+        return [len(scores) - 1]
+
+
+POLICIES = {"none": NoSpill, "all at once": AllAtOnce, "health share": HealthShare}
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -19,6 +19,7 @@
 from lanelead.relay.links import Links
 from lanelead.rules import Relay
 from lanelead.settings import records
+from lanelead.zones import ANYWHERE
 
 EPOCH: Ticks = 36_000_000  # the clock at the start: an hour, so that units older than the relay have a past
 Seam = Callable[[Decisions], Decisions]  # for tests only: takes a guard out, from outside the decisions
@@ -77,6 +78,7 @@
             tariff=records.TARIFF,
             chance=Random(settings.seed * 65537 + settings.number),
             now=self.clock(),
+            preference=ANYWHERE if settings.spill is None else settings.spill.figures(),
         )
         if self._seam is not None:
             decisions = self._seam(decisions)
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -20,7 +20,7 @@
 )
 from lanelead.server import Server, mine
 from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed
-from lanelead.zones import ANYWHERE, Spill
+from lanelead.zones import ANYWHERE, Pools, Spill
 
 SECOND: Ticks = 10_000
 SIGHT = 16  # servers looked at for one choice, at most
@@ -457,7 +457,7 @@
             self._untold.clear()
         news, ready = self._exposure.news, self._roster.ready
         trial = news is not None and news.phase is Phase.TRIAL
-        self._spill.beat(ready, self._rate.read(self.now) / 4, trial, self.now)
+        self._spill.beat(ready, self._rate.read(self.now), trial, self.now)
         if news is None or not (new := self._roster.groups.get(news.build)):
             return
         self._margin, _ = self._scoring.read(ready, self.now)
@@ -535,8 +535,11 @@
         return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
 
     def _choose(self, lookup: Lookup, asked: Sequence[Server] = ()) -> list[Server]:  # two, the better first
+        cuts = self._spill.cuts(self._roster.groups, lookup)
+        return next((pair for groups in cuts if (pair := self._among(groups, lookup, asked))), [])
+
+    def _among(self, groups: Pools, lookup: Lookup, asked: Sequence[Server]) -> list[Server]:
         allows, new = self._exposure.allows, list[Server]()  # builds that were asked in vain come last
-        groups = self._spill.cut(self._roster.groups, lookup)
         pools = [some for build, some in groups.items() if some and allows(build, lookup, self.now)]
         pools.sort(key=lambda servers: any(server in servers for server in asked))
         while pools and not new:
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -93,6 +93,14 @@
 	complaint_share: #Share | *0
 }
 
+// Zones in the order of preference, tier after tier; the relay's own first. See docs/zones.md.
+#Spill: {
+	tiers: [[#Name, ...#Name], ...[#Name, ...#Name]]
+	most:   (number & >=0 & <=10) | *0.75
+	grow:   (number & >0 & <=100) | *1
+	shrink: (number & >0 & <=100) | *2
+}
+
 // The figures that all relays and the outside share.
 #Service: {
 	lanes:     [#Lane, ...#Lane]
@@ -134,6 +142,7 @@
 	roster:    #Feed
 	desk:      #Feed
 	peers?:    #Peers
+	spill?:    #Spill
 	log:       *"json" | "console"
 }
 
@@ -200,13 +209,15 @@
 		"cut_answer" | "trickle" | "garbage" | "drop_idle" | "few_connections" | "burst" | "member_burst" |
 		"hot_key" | "hot_caller" | "heavy_tail" | "haste" | "idle_reap" | "false_reports" |
 		"bad_requests" | "slow_lane" | "give_up" | "retry_abuse" | "drain" | "relay_kill" | "relay_stop" | "relay_roll" |
-		"roster_away" | "desk_away" | "desk_mute" | "desk_stale" | "peers_lost"
+		"zone_lost" | "zone_silent" | "zone_slow" | "roster_away" | "desk_away" | "desk_mute" | "desk_stale" | "peers_lost"
 	count: (int & >=1) | *1
 	size:  (number & >=0) | *1
 	extra: (number & >=0) | *0
 	lane?: #Name
 	unit?: (int & >=0)
 	relay?: (int & >=0)
+	zone?: #Name
+	part: #Part | *1
 	member?: #Name
 }
 
@@ -222,6 +233,12 @@
 	roster:  #Roster
 	desk:    #Desk
 	events:  [...#Event] | *[]
+	// Each relay prefers its own zone, then all others, with these figures; without it all units are one.
+	spill?: {
+		most:   (number & >=0 & <=10) | *0.75
+		grow:   (number & >0 & <=100) | *1
+		shrink: (number & >0 & <=100) | *2
+	}
 	slack_ms: #Ms | *400
 	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure"
 }
--- a/lanelead/settings/read.py
+++ b/lanelead/settings/read.py
@@ -127,6 +127,17 @@
     if record.number >= record.relays:
         found = f"{record.number} of {record.relays}"
         faults.append(Fault(spots["relay.number"], "relay.number", found, "less than relay.relays"))
+    named = [zone for tier in record.spill.tiers for zone in tier] if record.spill else []
+    for place, tier in enumerate(record.spill.tiers if record.spill else []):
+        for number, zone in enumerate(tier):
+            if named.count(zone) > 1:
+                path = f"relay.spill.tiers[{place}][{number}]"
+                faults.append(Fault(spots[path], path, f"{zone!r} again", "a zone in one tier only"))
+    if record.spill and record.zone not in record.spill.tiers[0]:
+        path = "relay.spill.tiers[0]"
+        faults.append(
+            Fault(spots[path], path, f"{record.spill.tiers[0]}", f"the relay's own zone {record.zone!r}")
+        )
     for name in ("roster", "desk"):
         if getattr(record, name).address.port == 0:
             path = f"relay.{name}.address.port"
@@ -155,6 +166,8 @@
             blame(f"{path}.member", repr(event.member), "a member of the service")
         if event.relay is not None and event.relay >= record.relays:
             blame(f"{path}.relay", str(event.relay), f"less than {record.relays}")
+        if event.kind.startswith("zone_") and event.zone not in record.units.zones:
+            blame(f"{path}.zone", repr(event.zone), f"a zone of the units: {', '.join(record.units.zones)}")
         if event.at > record.seconds:
             blame(f"{path}.at", str(event.at), f"at most the day's {record.seconds} s")
     for place, offer in enumerate(record.desk.offers):
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -202,6 +202,22 @@
     others: list[Peer]
 
 
+class Spill(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    tiers: list[list[str]]
+    most: float
+    grow: float
+    shrink: float
+
+    def figures(self) -> interface.Preference:
+        return interface.Preference(tuple(map(tuple, self.tiers)), self.most, self.grow, self.shrink)
+
+
+class Overflow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    most: float
+    grow: float
+    shrink: float
+
+
 class Relay(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     number: int
     relays: int
@@ -215,6 +231,7 @@
     desk: Feed
     log: str
     peers: Peers | None = None
+    spill: Spill | None = None
 
 
 class Units(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -276,10 +293,12 @@
     count: int
     size: float
     extra: float
+    part: float
     lane: str | None = None
     unit: int | None = None
     relay: int | None = None
     member: str | None = None
+    zone: str | None = None
 
 
 class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -296,6 +315,7 @@
     events: list[Event]
     slack_ms: float
     seam: str | None = None
+    spill: Overflow | None = None
 
 
 TARIFF = interface.Tariff(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0)  # prices are the bench's: none here
--- a/lanelead/zones.py
+++ b/lanelead/zones.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator
+from math import exp
 from random import Random
 
 from lanelead.interface import Condition, Duties, Lookup, Preference, Repeat, Ticks
@@ -14,6 +15,7 @@
 from lanelead.sums import Fading
 
 ANYWHERE = Preference()
+Pools = dict[int, list[Server]]
 
 
 class Tier:
@@ -53,9 +55,9 @@
     def left(self, lookup: Lookup) -> None:
         self._draws.pop(lookup, None)
 
-    def beat(self, servers: Iterable[Server], rate: float, trial: bool, now: Ticks) -> None:
-        """Brings what is known of each tier up to date; called once a beat. `rate`: lookups taken a second,
-        `trial`: a build is on trial, whose machines may stand beside the others for a while."""
+    def beat(self, servers: Iterable[Server], taken: float, trial: bool, now: Ticks) -> None:
+        """Brings what is known of each tier up to date, once a beat. `taken`: lookups, a sum that decays over
+        4 s; `trial`: a build is on trial, whose machines may stand beside the others for a while."""
         if not self.tiers:
             return
         steps = self._beat / max(1, self._duties.cold_time)
@@ -64,11 +66,12 @@
             if server.condition is Condition.READY:
                 place = self.place(server)
                 sizes[place] += server.size * self._warmth(server, now)
-                late = (trip for trip in server.out if now - trip.sent > trip.lookup.lane.expected_time)
+                late = (trip for trip in server.out if now - trip.sent > trip.lookup.lane.expected_time // 2)
                 silent[place] += sum(1 for _ in late)
         troubled = any(tier.gone > 0 for tier in self.tiers)
         # What is usual is learnt while all is well: lookups that a lost zone has tried again are no demand.
         self._beats += 1
+        rate = taken / (4 * (1 - exp(-self._beats * self._beat / 40_000)))  # a sum that has just begun is low
         self._rate += (rate - self._rate) * max(1 / self._beats, steps / (20 if troubled else 2))
         for place, tier in enumerate(self.tiers):
             # Learnt over some warm-ups, or what a release drains would look like a lost zone; and forgotten
@@ -91,7 +94,7 @@
         listed = 1 - tier.present / tier.full if tier.full else 1.0
         ended, bad = tier.ended.read(now) + silent, tier.bad.read(now) + silent
         # A tenth is left to chance and to machines of its own; few outcomes prove nothing of a whole tier.
-        seen = max(0.0, bad / ended - 0.1) / 0.9 if ended >= 4 else 0.0
+        seen = max(0.0, (bad - 2) / ended - 0.1) / 0.9 if ended >= 4 else 0.0
         target, self_paced = max(listed, seen), self._chance.uniform(0.5, 1.5)
         if target > tier.gone:
             rise = self._beat / (self._wants.grow * self._longest) * self_paced
@@ -125,30 +128,32 @@
         most = max(3.0, more * self._longest / self._beat / 2)
         tier.held = min(most, tier.held + more * self._chance.uniform(0.5, 1.5))
 
-    def open(self, lookup: Lookup) -> Sequence[int] | None:
-        """The places of the tiers that a lookup may use now, the first the better; none: all."""
-        if len(self.tiers) < 2:
-            return None
+    def _order(self, lookup: Lookup) -> list[list[int]]:
+        """The tiers that a lookup may use now, the best first; the next counts where one has no room."""
         draw = self._draws.setdefault(lookup, self._chance.random())
         tried = {self._place.get(trip.unit.zone, len(self.tiers) - 1) for trip in lookup.trips}
         if lookup.trips and lookup.lane.repeat is Repeat.RECEIPTED:
-            return sorted(tried)  # its group may be the zone: a repeat never spills
+            return [sorted(tried)]  # its group may be the zone: a repeat never spills
+        order, last = list[list[int]](), len(self.tiers) - 1
         for place, tier in enumerate(self.tiers):
             # What may not run twice is no lookup to try a tier with that seems lost.
             risky = tier.gone > 0.9 and lookup.lane.repeat is not Repeat.PURE
             allowed = (place == 0 or tier.held >= 1) and not risky and place not in tried
-            if allowed and draw >= tier.gone:
-                return [place]
+            if allowed and (draw >= tier.gone or place == last or order):
+                order.append([place])
             draw = draw / tier.gone if tier.gone > 0 and draw < tier.gone else draw
-        # Where no other may have it, one that was tried may; else it waits, and is shed.
-        return sorted(tried)
+        if [0] not in order and 0 not in tried and self.tiers[0].gone <= 0.5:
+            order.append([0])  # more than its part, but most of it is there, and full queues guard it
+        return order or [sorted(tried)]
 
     def spend(self, server: Server) -> None:
         if self.tiers and (place := self.place(server)):
             self.tiers[place].held -= 1
 
-    def cut(self, pools: Mapping[int, list[Server]], lookup: Lookup) -> Mapping[int, list[Server]]:
-        """The units of each build that stand in a tier open to the lookup."""
-        if (open_ := self.open(lookup)) is None:
-            return pools
-        return {build: [s for s in some if self.place(s) in open_] for build, some in pools.items()}
+    def cuts(self, pools: Pools, lookup: Lookup) -> Iterator[Pools]:
+        """The units of each build in one tier after the other of those open to the lookup."""
+        if len(self.tiers) < 2:
+            yield pools
+            return
+        for places in self._order(lookup):
+            yield {build: [s for s in some if self.place(s) in places] for build, some in pools.items()}
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -11,6 +11,7 @@
 
 from lanelead.days.commands import load
 from lanelead.days.judge import Finding, Verdict, judge
+from lanelead.settings.records import Overflow
 from lanelead.standins.capture import BadCapture
 
 
@@ -316,6 +317,32 @@
             self.check(papers, "exposure", word)
 
 
+class Zones(Case):
+    def town(self) -> Papers:
+        papers = Papers()
+        zones = msgspec.structs.replace(papers.day.units, zones=["north", "south"], count=4)
+        papers.day = msgspec.structs.replace(papers.day, units=zones, spill=Overflow(0.5, 1.0, 2.0))
+        return papers
+
+    def test_trips_outside_the_own_zone_are_held_against_the_limit(self) -> None:
+        # Ten lookups a second, as many units there as here: five a second may spill, half as many more by
+        # chance.
+        for every, word in ((4, "kept"), (1, "broken")):
+            papers = self.town()
+            for place in range(150):
+                papers.served(1 + place * 0.1, unit="b" if place > 100 and place % every == 0 else "a")
+            self.check(papers, "spill", word)
+
+    def test_a_returning_unit_is_held_against_what_it_can_do_as_warm_as_it_is(self) -> None:
+        for work, word in ((0.05, "kept"), (0.15, "broken")):
+            papers = self.town()
+            papers.up("d", 1.0, cold=3.0)
+            papers.told(1.0, "changes", d="ready")
+            for place in range(30):
+                papers.served(1.2 + place * 0.05, unit="d", work=work)
+            self.check(papers, "returns", word)
+
+
 class Captures(unittest.TestCase):
     def test_nothing_at_stake_is_unproven(self) -> None:
         verdict = Papers().judged()
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,285 @@
+"""Stories of spill and return: on the module alone, and in a small world in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from math import exp
+from random import Random
+
+from lanelead.interface import (
+    Condition,
+    Duties,
+    Fate,
+    Lane,
+    Listing,
+    Lookup,
+    Preference,
+    Repeat,
+    Scope,
+    Ticks,
+    Trip,
+    Unit,
+)
+from lanelead.model.policies import AllAtOnce, HealthShare, NoSpill
+from lanelead.model.world import Plan, World
+from lanelead.rules import Fault
+from lanelead.server import Server, mine
+from lanelead.zones import Spill
+from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
+
+DUTIES = Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 4.0, SECOND, False, 0, 50)
+BEAT: Ticks = SECOND // 5
+
+
+class Town:
+    """Spill alone, fed by hand: two zones of four units each, ten lookups a second."""
+
+    def __init__(self, preference: Preference = Preference((("a",), ("b",)))) -> None:  # noqa: B008
+        self.spill = Spill(preference, DUTIES, SECOND, BEAT, Random(3))
+        self.now: Ticks = 1000 * SECOND
+        self.begun = self.now
+        self.units = {zone: [self.unit(zone) for _ in range(4)] for zone in "ab"}
+        self.run(10)
+
+    def unit(self, zone: str, since: Ticks = 0) -> Server:
+        server = Server(0, SECOND, SECOND, 0.5)
+        server.update(Listing(server, zone, 0, "std", since, 1, 1.0, Condition.READY))
+        return server
+
+    def run(self, seconds: float, bad: str = "") -> None:
+        for _ in range(round(seconds * 5)):
+            self.now += BEAT
+            every = [server for some in self.units.values() for server in some]
+            for zone in bad:
+                for server in self.units[zone]:
+                    self.spill.note(server, 1, 1, self.now)
+            begun = 1 - exp((self.begun - self.now) / (4 * SECOND))  # the sum of ten lookups a second
+            self.spill.beat(every, 40.0 * begun, False, self.now)
+
+    def gone(self) -> float:
+        return self.spill.tiers[0].gone
+
+    def lookup(self, lane: Lane = PURE, tried: Unit | None = None) -> Lookup:
+        found = Lookup(lane, None, None, self.now, self.now + SECOND)
+        if tried is not None:
+            found.trips.append(Trip(found, tried, 0, self.now, SECOND, Fate.TIMED_OUT))
+        return found
+
+    def first(self, lane: Lane = PURE, tried: Unit | None = None) -> list[int]:
+        return self.spill._order(self.lookup(lane, tried))[0]
+
+
+class Spilling(unittest.TestCase):
+    def test_while_all_is_well_a_lookup_stays_in_its_zone(self) -> None:
+        town = Town()
+        self.assertEqual([town.first() for _ in range(50)], [[0]] * 50)
+
+    def test_half_a_zone_spills_half(self) -> None:
+        town = Town()
+        del town.units["a"][2:]
+        town.run(4)
+        self.assertAlmostEqual(town.gone(), 0.5, delta=0.02)
+        town.spill.tiers[1].held = 1000.0
+        places = [town.first()[0] for _ in range(1000)]
+        self.assertLess(abs(sum(places) / 1000 - 0.5), 0.1)
+
+    def test_a_lost_zone_spills_by_steps_not_at_once(self) -> None:
+        town, seen = Town(), list[float]()
+        town.units["a"].clear()
+        for _ in range(10):
+            town.run(0.2)
+            seen.append(town.gone())
+        self.assertTrue(0 < seen[0] < 0.4)
+        self.assertEqual(sorted(seen), seen)
+        self.assertEqual(seen[-1], 1.0)
+
+    def test_relays_that_notice_at_the_same_moment_take_different_steps(self) -> None:
+        steps = set()
+        for seed in range(5):
+            town = Town()
+            town.spill._chance = Random(seed)
+            town.units["a"].clear()
+            town.run(0.2)
+            steps.add(round(town.gone(), 4))
+        self.assertEqual(len(steps), 5)
+
+    def test_a_zone_that_fails_while_the_roster_lists_it_is_left_on_evidence(self) -> None:
+        town = Town()
+        town.run(4, bad="a")
+        self.assertGreater(town.gone(), 0.8)
+
+    def test_a_silent_zone_shows_by_its_open_trips(self) -> None:
+        town = Town()
+        for server in town.units["a"]:
+            for _ in range(3):
+                lookup = town.lookup()
+                server.out[Trip(lookup, server, 0, town.now, SECOND)] = None
+        town.run(3)
+        self.assertGreater(town.gone(), 0.4)
+
+    def test_few_bad_outcomes_prove_nothing_of_a_whole_tier(self) -> None:
+        town = Town()
+        town.spill.note(town.units["a"][0], 5, 2, town.now)
+        town.run(0.4)
+        self.assertEqual(town.gone(), 0.0)
+
+    def test_strangers_are_let_in_up_to_the_limit(self) -> None:
+        town = Town()
+        town.units["a"].clear()
+        sent = 0
+        for _ in range(50):
+            town.run(0.2)
+            while town.spill.tiers[1].held >= 1:
+                sent += 1
+                town.spill.spend(town.units["b"][0])
+        limit = town.spill.limit(1)
+        self.assertAlmostEqual(limit, 0.75 * 10, delta=1.5)
+        self.assertLessEqual(sent, limit * 10 + 10)
+        self.assertGreater(sent, limit * 10 * 0.6)
+
+    def test_a_full_receiving_tier_lets_fewer_in(self) -> None:
+        town = Town()
+        town.units["a"].clear()
+        town.run(4)
+        before = town.spill.tiers[1].grant
+        town.run(3, bad="b")
+        self.assertLess(town.spill.tiers[1].grant, before / 2)
+
+    def test_machines_that_a_release_drains_are_no_lost_zone(self) -> None:
+        town = Town()
+        town.units["a"] += [town.unit("a") for _ in range(4)]
+        for _ in range(20):
+            town.now += BEAT
+            town.spill.beat([s for some in town.units.values() for s in some], 40.0, True, town.now)
+        del town.units["a"][:4]
+        town.run(2)
+        self.assertLess(town.gone(), 0.05)
+
+
+class Returning(unittest.TestCase):
+    def back(self, town: Town) -> None:
+        town.units["a"] = [town.unit("a", town.now) for _ in range(4)]
+
+    def test_traffic_comes_back_no_sooner_than_the_units_warm(self) -> None:
+        town = Town()
+        town.units["a"].clear()
+        town.run(4)
+        self.back(town)
+        for _ in range(20):
+            town.run(0.2)
+            age = (town.now - town.units["a"][0].since) / DUTIES.cold_time
+            self.assertGreaterEqual(town.gone(), 1 - (0.4 + 0.6 * age) - 1e-9)
+        town.run(12)
+        self.assertEqual(town.gone(), 0.0)
+
+    def test_a_zone_that_failed_again_is_trusted_more_slowly_and_forgiven_in_time(self) -> None:
+        def until_back(town: Town) -> float:
+            self.back(town)
+            for step in range(1000):
+                town.run(0.2)
+                if town.gone() == 0:
+                    return step * 0.2
+            raise AssertionError("never back")
+
+        town, times = Town(), list[float]()
+        for _ in range(4):
+            town.units["a"].clear()
+            town.run(4)
+            times.append(until_back(town))
+        self.assertGreater(times[1], times[0] * 1.3)
+        self.assertGreater(times[2], times[1])
+        self.assertLess(times[3], times[0] * 4)  # up to a bound
+        town.run(400)
+        town.units["a"].clear()
+        town.run(4)
+        self.assertLess(until_back(town), times[0] * 1.2)
+
+
+class Lanes(unittest.TestCase):
+    def test_what_may_not_run_twice_does_not_try_a_zone_that_seems_lost(self) -> None:
+        town = Town()
+        town.run(6, bad="a")
+        town.spill.tiers[0].gone = 0.95
+        town.spill.tiers[1].held = 1000.0
+        self.assertEqual({town.first(EFFECTFUL)[0] for _ in range(200)}, {1})
+        self.assertEqual({town.first(PURE)[0] for _ in range(200)}, {0, 1})
+
+    def test_a_lookup_whose_trip_failed_goes_on_to_the_next_tier_and_a_receipted_one_does_not(self) -> None:
+        town = Town()
+        home = town.units["a"][0]
+        self.assertEqual(town.first(PURE, home), [1])
+        self.assertEqual(town.first(RECEIPTED, home), [0])
+
+    def test_a_bad_build_is_seen_in_a_troubled_tier_and_slowness_there_is_not_its_fault(self) -> None:
+        host = FakeHost(units=4)
+        relay = host.relay
+        relay._spill = Spill(Preference((("z",), ("y",))), DUTIES, SECOND, BEAT, Random(1))
+        relay._spill.tiers[0].gone = 0.8
+        relay._count(mine(host.units[0]), PURE, {Fault.SLOW: 3, Fault.BROKEN: 2}, 10, False)
+        self.assertEqual(relay._scoring._windows[-1].faults, {Fault.BROKEN: 2})
+        self.assertGreater(relay._spill.tiers[0].bad.read(relay.now), 0)
+
+    def test_without_tiers_all_units_are_one(self) -> None:
+        spill = Spill(Preference(), DUTIES, SECOND, BEAT, Random(1))
+        pools = {1: [Server(0, SECOND, SECOND, 0.5)]}
+        lookup = Lookup(Lane("r", 1, 2, 1.0, 0.0, Repeat.PURE, Scope.ALL, 0, False, 0.0), None, None, 0, 1)
+        self.assertIs(next(spill.cuts(pools, lookup)), pools)
+        spill.beat(pools[1], 1.0, False, 0)
+        self.assertFalse(spill.troubled(pools[1][0]))
+
+
+class Worlds(unittest.TestCase):
+    """The module's own relays with queues, a network and a late roster: small, seeded, the same every
+    time."""
+
+    PLAN = Plan(relays=9, units=9, seconds=34, load=0.45)
+
+    def play(self, *events: tuple[float, str, str, float], policy: type[NoSpill] | None = None) -> World:
+        return World(replace(self.PLAN, events=events), 5, policy).run()
+
+    def home(self, world: World, second: int) -> float:
+        rows = {zone: world.sends.get(("a", zone), [0] * 99)[second] for zone in "abc"}
+        return rows["a"] / max(1, sum(rows.values()))
+
+    def test_a_zone_lost_returned_lost_and_returned(self) -> None:
+        events = (
+            (8.0, "lost", "a", 1.0),
+            (14.0, "back", "a", 1.0),
+            (18.0, "lost", "a", 1.0),
+            (22.0, "back", "a", 1.0),
+        )
+        world = self.play(*events)
+        self.assertGreater(world.value(8, 13), 0.85)
+        self.assertEqual((self.home(world, 12), self.home(world, 21)), (0.0, 0.0))
+        self.assertGreater(self.home(world, 33), 0.8)
+        self.assertLess(world.worst(), 1.0)
+        self.assertFalse([machine for machine in world.machines if machine.fallen])
+
+    def test_it_earns_more_than_no_spill_and_when_the_zone_is_silent_more_than_the_list_shows(self) -> None:
+        for what, other in (
+            ("lost", NoSpill),
+            ("silent", AllAtOnce),
+            ("silent", HealthShare),
+            ("slow", HealthShare),
+        ):
+            events = ((8.0, what, "a", 1.0), (26.0, "back", "a", 1.0))
+            ours, theirs = self.play(*events), self.play(*events, policy=other)
+            self.assertGreater(ours.value(8, 26), theirs.value(8, 26) + 0.02, (what, other))
+
+    def test_the_same_seed_gives_the_same_world(self) -> None:
+        first, second = (self.play((8.0, "lost", "a", 0.5), (14.0, "back", "a", 0.5)) for _ in range(2))
+        self.assertEqual((first.rows, first.sends), (second.rows, second.sends))
+
+    def test_the_checker_sees_a_unit_that_is_pushed_over(self) -> None:
+        world = World(self.PLAN, 1)
+        machine = world.machines[0]
+        machine.since = world.now
+        for _ in range(200):
+            world._weigh(machine, 0.1)
+        self.assertTrue(machine.fallen)
+        self.assertGreater(world.worst(), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
