--- a/lanelead/days/fleet.py
+++ b/lanelead/days/fleet.py
@@ -12,7 +12,7 @@
 import socket
 import sys
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 from typing import Any
 
 import msgspec
@@ -27,14 +27,21 @@
 
 
 def free_ports(many: int, kind: int = socket.SOCK_STREAM) -> list[int]:
-    """Ports that were free a moment ago, all different."""
-    socks = [socket.socket(socket.AF_INET, kind) for _ in range(many)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Ports that were free a moment ago, all different.
+
+    They lie below the range that the kernel hands out by itself: a port of that range may be taken by any
+    connection before the process it is meant for has started, as happened to days that were played side by
+    side.
+    """
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    below, ports = range(min(10_000, first // 2), first), list[int]()
+    for port in SystemRandom().sample(below, len(below)):
+        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            ports.append(port)
+        if len(ports) == many:
+            return ports
+    raise RuntimeError(f"no {many} ports are free")
 
 
 class Process:
