--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 import unittest
 
 from lanelead.http import writing
+from lanelead.interface import Condition
 from tests.town import Client, Handler, ScriptedUnit, live, resets, says, state_of, town
 
 
@@ -264,7 +265,8 @@
             client = await Client.to(place)
             self.assertEqual((await client.ask("GET", "/"))[0], 200)
             place.list_(unit, "draining")
-            await asyncio.sleep(0.1)
+            while place.relay.driver.door.unit("u").condition is Condition.READY:
+                await asyncio.sleep(0.01)
             status, told, _ = await client.ask("GET", "/")
             self.assertEqual((status, told["lanelead-outcome"]), (503, "shed"))
             self.assertIn("retry-after", told)
@@ -277,8 +279,8 @@
             client = await Client.to(place)
             place.roster.shut()
             place.desk.shut()
-            await asyncio.sleep(0.2)
-            self.assertEqual(state_of(place)["feeds"], {"roster": False, "desk": False})
+            while state_of(place)["feeds"] != {"roster": False, "desk": False}:
+                await asyncio.sleep(0.01)
             self.assertEqual((await client.ask("GET", "/"))[0], 200)
             await new.open()
             place.list_(old, "gone")
@@ -320,7 +322,8 @@
         async with town(ScriptedUnit("u", says(b"last\n", wait=0.3))) as place:
             client, idle = await Client.to(place), await Client.to(place)
             client.send("POST", "/", b"b")
-            await asyncio.sleep(0.1)
+            while not place.units[0].requests:
+                await asyncio.sleep(0.01)
             place.relay.stop()
             self.assertEqual((await client.answer())[2], b"last\n")
             self.assertEqual(await idle.ended(), b"")
