The small world restarts a slow unit whole: its cores stayed taken after the return

The plot of a slow zone showed no return, under any policy: a unit that was restarted kept the lookups of its earlier life on its cores. They are cut now.

--- a/lanelead/model/world.py
+++ b/lanelead/model/world.py
@@ -344,6 +344,8 @@
             if what in ("lost", "silent"):
                 self._cut(machine, what == "silent")
             elif what == "back":
+                if machine.up and not machine.silent:
+                    self._cut(machine, False)  # a slow one is restarted: what it held is cut
                 machine.up, machine.silent, machine.slow, machine.since = True, False, 1.0, self.now
                 machine.life += 1
                 machine.fallen, machine.sent = False, 0.0
