A zone that flaps is counted each time, and a slow or silent one is left sooner

Cause: a zone that failed again before all its traffic was back was not counted as failing again, so one that flapped every three seconds was trusted as fast as at first: a new story found it. And the reading of outcomes was too shallow: a zone whose answers were half bad kept half its traffic.

Change: failing ends when the zone is back, not when its traffic is; outcomes count in full from half bad on; strangers are held back from a tenth bad on, and may have nine tenths (three quarters before).

--- /dev/null
+++ b/lanelead/days/scripts/zone-tight.cue
@@ -0,0 +1,13 @@
+day: #Town & {
+	name: "zone-tight"
+	says: "a zone of three is lost, returns, fails again and returns a second time; little may spill"
+	seconds: 44
+	relays: 6
+	units: {count: 12, zones: ["north", "east", "west"]}
+	clients: rate: 120
+	spill: most: 0.1
+	events: [
+		{at: 10, kind: "zone_lost", zone: "west", for: 6},
+		{at: 21, kind: "zone_lost", zone: "west", for: 6},
+	]
+}
--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -193,7 +193,7 @@
     """Which zones' units a relay prefers, tier after tier, and how traffic may spill. None: all are one."""
 
     tiers: tuple[tuple[str, ...], ...] = ()
-    most: float = 0.75  # of what a tier's units would do for this relay, the part that its strangers may have
+    most: float = 0.9  # of what a tier's units would do for this relay, the part that its strangers may have
     grow: float = 1.0  # times the longest expected time, for spill to grow from none to all
     shrink: float = 2.0  # times the warm-up, for it to shrink from all to none
 
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -96,7 +96,7 @@
 // Zones in the order of preference, tier after tier; the relay's own first. See docs/zones.md.
 #Spill: {
 	tiers: [[#Name, ...#Name], ...[#Name, ...#Name]]
-	most:   (number & >=0 & <=10) | *0.75
+	most:   (number & >=0 & <=10) | *0.9
 	grow:   (number & >0 & <=100) | *1
 	shrink: (number & >0 & <=100) | *2
 }
@@ -235,12 +235,12 @@
 	events:  [...#Event] | *[]
 	// Each relay prefers its own zone, then all others, with these figures; without it all units are one.
 	spill?: {
-		most:   (number & >=0 & <=10) | *0.75
+		most:   (number & >=0 & <=10) | *0.9
 		grow:   (number & >0 & <=100) | *1
 		shrink: (number & >0 & <=100) | *2
 	}
 	slack_ms: #Ms | *400
-	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure"
+	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure" | "strangers"
 }
 
 #File: {relay: #Relay} | {day: #Day}
--- a/lanelead/zones.py
+++ b/lanelead/zones.py
@@ -94,18 +94,18 @@
         listed = 1 - tier.present / tier.full if tier.full else 1.0
         ended, bad = tier.ended.read(now) + silent, tier.bad.read(now) + silent
         # A tenth is left to chance and to machines of its own; few outcomes prove nothing of a whole tier.
-        seen = max(0.0, (bad - 2) / ended - 0.1) / 0.9 if ended >= 4 else 0.0
+        seen = max(0.0, (bad - 2) / ended - 0.1) / 0.4 if ended >= 4 else 0.0
         target, self_paced = max(listed, seen), self._chance.uniform(0.5, 1.5)
         if target > tier.gone:
-            rise = self._beat / (self._wants.grow * self._longest) * self_paced
-            tier.gone = min(target, tier.gone + rise)
+            tier.gone = min(target, tier.gone + self._beat / (self._wants.grow * self._longest) * self_paced)
             if target > 0.5 and not tier.failing:  # it fails once more: trusted more slowly, up to a bound
                 tier.failing, tier.distrust = True, min(3.0, tier.distrust + 1)
         else:
             fall = steps / (self._wants.shrink * max(1.0, tier.distrust)) * self_paced
             tier.gone = max(target, tier.gone - fall)
+            tier.failing = tier.failing and target > 0.3  # a zone that flaps is counted before it is all back
             if tier.gone < 0.1:
-                tier.failing, tier.distrust = False, max(0.0, tier.distrust - steps / 10)
+                tier.distrust = max(0.0, tier.distrust - steps / 10)
 
     def limit(self, place: int) -> float:
         """Trips a second that strangers from here may make at a tier: the stated part of what its units
@@ -116,7 +116,7 @@
     def _admit(self, place: int, tier: Tier, now: Ticks) -> None:
         ended, bad = tier.ended.read(now), tier.bad.read(now)
         step = self._beat / (self._wants.grow * self._longest) * self._chance.uniform(0.5, 1.5)
-        if ended >= 4 and bad > 0.2 * ended:
+        if ended >= 4 and bad > 0.1 * ended:
             tier.grant = max(0.05, tier.grant * (1 - step))
         elif any(before.gone > 0 for before in self.tiers[:place]):
             tier.grant = min(1.0, max(0.25, tier.grant) * (1 + step))
