Schema and data steps: plans, a record, a runner that is fenced, and a store with faults

Need: a new build may need schema or data changes in order, and whatever fails the record must say what was done.

Change: plans of steps in the settings form, checked before anything runs; the record's rules and the runner as state machines without I/O (lanelead/steps); an SQLite store behind HTTP that keeps lease, record, marks and effects, each call one transaction (lanelead/store); `lanelead steps check|plan|status|run|undo|resume` and `lanelead store`. What a runner does not know it settles in one way: a new token that fences off what is under way, then reading, then asking. Calls and the small server moved to lanelead/http, which both sides use.

A plan of 8 steps with the runner killed at each point, paused past its lease, the store's transactions cut, answers lost, the disk full: the record clear and each effect had once in all. Relays don't ask it yet.

--- a/benchmarks/relay_path.py
+++ b/benchmarks/relay_path.py
@@ -35,7 +35,7 @@
 from lanelead.protocols.records import Row
 from lanelead.standins.desk import Desk
 from lanelead.standins.roster import Roster
-from lanelead.standins.server import Caller
+from lanelead.http.serving import Caller
 
 ANSWER = writing.answer(200, [(b"content-type", b"text/plain")], b"x" * 100)
 FIELDS = [
--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `lanelead relay`, `lanelead check` and `lanelead day`."""
+"""The command line: relay, check, day, steps and store."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from lanelead import VERSION
 from lanelead.settings.cue import Unfit
 from lanelead.settings.read import read
-from lanelead.settings.records import Relay
+from lanelead.settings.records import Day, Relay
 
 
 @click.group()
@@ -31,7 +31,14 @@
             for fault in unfit.faults:
                 click.echo(str(fault), err=True)
         else:
-            click.echo(f"{file}: a {'relay' if isinstance(record, Relay) else 'day'}, good")
+            kind = (
+                "relay"
+                if isinstance(record, Relay)
+                else "day"
+                if isinstance(record, Day)
+                else "plan of steps"
+            )
+            click.echo(f"{file}: a {kind}, good")
     sys.exit(2 if bad else 0)
 
 
@@ -48,15 +55,17 @@
         click.echo(str(unfit), err=True)
         sys.exit(2)
     if not isinstance(record, Relay):
-        click.echo(f"{settings}: a day, expected a relay", err=True)
+        click.echo(f"{settings}: expected a relay", err=True)
         sys.exit(2)
     run(record, "console" if console else record.log)
 
 
-def _days() -> None:
+def _rest() -> None:
     from lanelead.days.commands import day
+    from lanelead.steps.commands import steps, store
 
-    main.add_command(day)
+    for command in (day, steps, store):
+        main.add_command(command)
 
 
-_days()
+_rest()
--- a/lanelead/relay/calls.py
+++ b/lanelead/http/calls.py
@@ -1,4 +1,4 @@
-"""Small HTTP/1.1 calls and line streams of the relay to the roster and the release desk."""
+"""Small HTTP/1.1 calls and line streams, to the roster, the release desk and the store of steps."""
 
 from __future__ import annotations
 
--- a/lanelead/standins/server.py
+++ b/lanelead/http/serving.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server for stand-ins, on asyncio's protocols and our own sans-I/O reader."""
+"""A small HTTP/1.1 server on asyncio's protocols and our own sans-I/O reader: for the store and stand-ins."""
 
 from __future__ import annotations
 
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -13,7 +13,7 @@
 from lanelead.interface import Decisions, Fate, Member, Ticks, Trip, Unit, Vote
 from lanelead.protocols import datagrams
 from lanelead.protocols.records import Listed, Malformed, NewsLine, VoteAnswer, VoteAsk, decode, encode
-from lanelead.relay.calls import Failed, call, stream
+from lanelead.http.calls import Failed, call, stream
 from lanelead.relay.driver import VERDICTS, WORDS, Driver, Ticket
 from lanelead.relay.gate import Gate
 from lanelead.relay.links import Links
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -243,7 +243,45 @@
 	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure" | "strangers"
 }
 
-#File: {relay: #Relay} | {day: #Day}
+// A plan of schema and data steps, and which builds work on which states of it. See docs/steps.md.
+
+#Ident: string & =~"^[A-Za-z_][A-Za-z0-9_]{0,63}$"
+#Sql:   string & =~"[A-Za-z]"
+
+#Batch: {
+	table:   #Ident
+	key:     #Ident
+	rows:    (int & >=1 & <=1000000) | *500
+	rate:    (number & >0) | *5000
+	hold_ms: (#Ms & >0) | *25
+}
+
+#Step: {
+	name:     #Name
+	kind:     "expand" | "backfill" | "contract"
+	after:    [...#Name] | *[]
+	apply:    [#Sql, ...#Sql]
+	undo:     [#Sql, ...#Sql] | "never"
+	limit_ms: (#Ms & >0) | *10000
+	batch?:   #Batch
+}
+
+#Demands: {
+	build: int & >=0 & <=65535
+	needs: [...{step: #Name, stage: (int & >=0 & <=1000) | *0}] | *[]
+	until: [...#Name] | *[]
+	// What a unit's stand-in of the build writes for an effectful lookup, with :op for its name.
+	write: string | *""
+}
+
+#Steps: {
+	name:   #Name
+	steps:  [#Step, ...#Step]
+	builds: [...#Demands] | *[]
+}
+
+#File: {relay: #Relay} | {day: #Day} | {steps: #Steps}
+#StepsFile: {steps: #Steps}
 #RelayFile: {relay: #Relay}
 #DayFile: {day: #Day}
 
--- a/lanelead/settings/read.py
+++ b/lanelead/settings/read.py
@@ -13,7 +13,14 @@
 
 from lanelead.settings import cue
 from lanelead.settings.cue import Fault, Spot, Unfit
-from lanelead.settings.records import Day, Relay, Service
+from lanelead.settings.records import Day, Relay, Service, Steps
+
+Record = Relay | Day | Steps
+KINDS: dict[str, tuple[str, type[Record]]] = {
+    "relay": ("#RelayFile", Relay),
+    "day": ("#DayFile", Day),
+    "steps": ("#StepsFile", Steps),
+}
 
 
 @cache
@@ -40,33 +47,46 @@
     return result, spots
 
 
-def read(path: str | Path) -> Relay | Day:
+def read(path: str | Path) -> Record:
     """The record that a file holds. Raises Unfit with every fault found."""
+    return spotted(path)[0]
+
+
+def spotted(path: str | Path) -> tuple[Record, dict[str, Spot]]:
+    """The same, and where each of its fields stands."""
     file = str(path)
     try:
         text = Path(path).read_text("utf-8")
     except (OSError, UnicodeDecodeError) as fault:
         reason = getattr(fault, "strerror", None) or "bytes that are not UTF-8"
         raise Unfit([Fault(Spot(file, 1, 1), "", reason, "a readable text file")]) from None
-    return read_text(text, file)
+    return _read(text, file)
+
 
+def read_text(text: str, file: str) -> Record:
+    """The same as `read`, from a text; `file` is what faults name."""
+    return _read(text, file)[0]
 
-def read_text(text: str, file: str) -> Relay | Day:
-    """The same, from a text; `file` is what faults name."""
+
+def _read(text: str, file: str) -> tuple[Record, dict[str, Spot]]:
     top = set(_top(text, file))
-    definition = "#File"
-    result, spots = evaluate(text, file, definition) if not top & {"relay", "day"} else _one(text, file, top)
-    kind: type[Relay] | type[Day] = Relay if "relay" in result else Day
-    name = "relay" if kind is Relay else "day"
+    # Unified with the one definition that is meant, faults are nearer the point than a choice's.
+    meant = next((name for name in KINDS if name in top), None)
+    result, spots = evaluate(text, file, "#File" if meant is None else KINDS[meant][0])
+    name = meant or next(iter(result))
     try:
-        record = msgspec.convert(result[name], kind)
+        record = msgspec.convert(result[name], KINDS[name][1])
     except msgspec.ValidationError as fault:  # the definitions and the records do not agree
         raise Unfit([Fault(spots[""], name, str(fault), "a value that the record takes")]) from None
-    faults = _service(record.service, f"{name}.service", spots)
-    faults += _relay(record, spots) if isinstance(record, Relay) else _day(record, spots)
+    faults = list[Fault]()
+    match record:
+        case Relay():
+            faults = _service(record.service, "relay.service", spots) + _relay(record, spots)
+        case Day():
+            faults = _service(record.service, "day.service", spots) + _day(record, spots)
     if faults:
         raise Unfit(faults)
-    return record
+    return record, spots
 
 
 def _top(text: str, file: str) -> list[str]:
@@ -78,11 +98,6 @@
     ]
 
 
-def _one(text: str, file: str, top: set[str]) -> tuple[Any, dict[str, Spot]]:
-    # Unified with the one definition that is meant, its faults are nearer the point than a choice's.
-    return evaluate(text, file, "#RelayFile" if "relay" in top else "#DayFile")
-
-
 def _service(service: Service, at: str, spots: dict[str, Spot]) -> list[Fault]:
     """What no field can say alone."""
     faults = []
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -323,3 +323,48 @@
 
 def place(relay: Relay) -> interface.Place:
     return interface.Place(relay.number, relay.relays, relay.zone)
+
+
+# Steps
+
+
+class Batch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    table: str
+    key: str
+    rows: int
+    rate: float
+    hold_ms: float
+
+
+class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    name: str
+    kind: str
+    after: list[str]
+    apply: list[str]
+    undo: list[str] | str  # "never": it can't be undone
+    limit_ms: float
+    batch: Batch | None = None
+
+    @property
+    def undoing(self) -> list[str]:
+        return [] if isinstance(self.undo, str) else self.undo
+
+
+class Need(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    step: str
+    stage: int
+
+
+class Demands(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The schema states that a build works on: its needs are done, and no step of `until` has begun."""
+
+    build: int
+    needs: list[Need]
+    until: list[str]
+    write: str
+
+
+class Steps(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    steps: list[Step]
+    builds: list[Demands]
--- a/lanelead/standins/desk.py
+++ b/lanelead/standins/desk.py
@@ -17,7 +17,7 @@
 from lanelead.settings.records import Poll, Trial
 from lanelead.standins.capture import Tap, clock
 from lanelead.standins.roster import Door, relay_of
-from lanelead.standins.server import STREAM, Caller, chunk
+from lanelead.http.serving import STREAM, Caller, chunk
 
 
 class Desk(Door):
--- /dev/null
+++ b/lanelead/standins/interrupts.py
@@ -0,0 +1,295 @@
+"""Interrupts a plan of steps at one point, goes on, and checks what is left: record, schema and effects.
+
+The points are those around each of a runner's requests, and those in and around each of the store's
+transactions. The store is FaultyStore in a thread of its own, or in a process (`Apart`), over its socket
+either way; the runner is the real Conductor. The checker reads the store's file alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import shutil
+import signal
+import sqlite3
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from lanelead.protocols.steps import Entry, Logged
+from lanelead.settings.records import Address, Steps
+from lanelead.standins.stepstore import FaultyStore
+from lanelead.steps.driver import Client, Conductor
+from lanelead.steps.record import Record, Stand
+from lanelead.steps.runner import Goal, Stop
+from lanelead.store.ledger import Ledger
+
+ROWS = 300
+SCHEMA = f"""
+CREATE TABLE offers (id INTEGER PRIMARY KEY, op TEXT, price TEXT, touched INTEGER NOT NULL DEFAULT 0);
+CREATE TABLE tally (step TEXT NOT NULL);
+WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < {ROWS})
+    INSERT INTO offers (op, price) SELECT 'op-' || i, '10.25' FROM n;
+"""
+
+
+class Killed(BaseException):
+    """Stands for SIGKILL: nothing below may catch it and clean up."""
+
+
+def counted(plan: Steps) -> Steps:
+    """The plan, with statements that show an effect had twice: none of them may be repeated."""
+    steps = []
+    for step in plan.steps:
+        apply, undo = [*step.apply], step.undo
+        if step.batch is None:
+            apply.append(f"INSERT INTO tally VALUES ('{step.name}')")
+            if not isinstance(undo, str):
+                undo = [*undo, f"DELETE FROM tally WHERE step = '{step.name}'"]
+        else:
+            step = msgspec.structs.replace(step, batch=msgspec.structs.replace(step.batch, rate=1e6))
+            apply.append("UPDATE offers SET touched = touched + 1 WHERE id > :low AND id <= :high")
+        steps.append(msgspec.structs.replace(step, apply=apply, undo=undo))
+    return msgspec.structs.replace(plan, steps=steps)
+
+
+class Place(Protocol):
+    """Where a store runs."""
+
+    file: Path
+    port: int
+
+    def order(self, **what: Any) -> None: ...
+    def close(self) -> None: ...
+
+
+class Within:
+    """A store in a thread of this process; a relay that sees every closing a moment later."""
+
+    def __init__(self, file: Path) -> None:
+        self.file, self.port = file, 0
+        self._up = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        self._up.wait(10)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._store = Seeing(Ledger(self.file))
+        self._store.ledger.told(0)
+        self._store.ledger.db.execute("PRAGMA synchronous=OFF")  # nothing here loses power
+        self.port = self._loop.run_until_complete(self._store.open(0))
+        self._up.set()
+        self._loop.run_forever()
+        self._store.close()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    def order(self, **what: Any) -> None:
+        done = threading.Event()
+        self._loop.call_soon_threadsafe(self._store.obey, what)
+        self._loop.call_soon_threadsafe(done.set)
+        done.wait(10)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
+
+
+class Seeing(FaultyStore):
+    def noted(self, logged: Logged) -> None:
+        if logged.entry.kind == "closing":
+            asyncio.get_running_loop().call_later(0.005, self.ledger.seen, 0, logged.seq)
+
+
+class Apart:
+    """A store in a process, started again at the same port whenever it has been killed."""
+
+    def __init__(self, file: Path, port: int) -> None:
+        self.file, self.port = file, port
+        self._over = False
+        self._process = self._start()
+        self._keeper = threading.Thread(target=self._keep, daemon=True)
+        self._keeper.start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        args = [sys.executable, "-m", "lanelead.standins.stepstore", str(self.file), str(self.port)]
+        process = subprocess.Popen(args, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert process.stdout is not None
+        process.stdout.readline()
+        return process
+
+    def _keep(self) -> None:
+        while not self._over:
+            process = self._process
+            process.wait()
+            for pipe in (process.stdin, process.stdout):
+                if pipe is not None:
+                    pipe.close()
+            if not self._over:
+                self._process = self._start()
+
+    def order(self, **what: Any) -> None:
+        stdin, stdout = self._process.stdin, self._process.stdout
+        assert stdin is not None and stdout is not None
+        stdin.write(json.dumps(what).encode() + b"\n")
+        stdin.flush()
+        stdout.readline()
+
+    def close(self) -> None:
+        self._over = True
+        self._process.send_signal(signal.SIGTERM)
+        self._keeper.join(10)
+
+
+@dataclass
+class Trial:
+    """One plan, one folder, one store after another."""
+
+    plan: Steps
+    folder: Path
+    start: Callable[[Path], Place] = Within
+    points: list[str] = field(default_factory=list)
+    made: int = 0
+
+    def place(self) -> Place:
+        """A store with a fresh schema."""
+        first = self.folder / "first.db"
+        if not first.exists():
+            db = sqlite3.connect(first)
+            db.executescript(SCHEMA)
+            db.close()
+        self.made += 1
+        file = self.folder / f"{self.made}.db"
+        shutil.copy(first, file)
+        return self.start(file)
+
+    def go(
+        self, place: Place, what: str = "run", at: Callable[[str], None] = lambda point: None,
+        name: str = "one", ttl: float = 0.05,
+    ) -> Stop:  # fmt: skip
+        """A whole run in this thread. Raises Killed where `at` does."""
+
+        async def whole() -> Stop:
+            goal = Goal(self.plan, what, past_back=True)
+            client = Client(Address("127.0.0.1", place.port))
+            return await Conductor(goal, name, client, ttl, at=at, patience=8.0).run()
+
+        return asyncio.run(whole())
+
+    def count(self) -> list[str]:
+        """The points of a whole run, in order."""
+        place, points = self.place(), list[str]()
+        try:
+            self.go(place, at=points.append)
+            if wrong := check(place.file, self.plan, whole=True):
+                raise AssertionError(wrong)
+        finally:
+            place.close()
+        return points
+
+    def runner_killed(self, number: int) -> list[str]:
+        """The runner ends at a point without a word; what is wrong at once, and after a resume by another."""
+        place, left = self.place(), number
+
+        def at(point: str) -> None:
+            nonlocal left
+            left -= 1
+            if left < 0:
+                raise Killed
+
+        try:
+            with contextlib.suppress(Killed):
+                self.go(place, at=at)
+            wrong = check(place.file, self.plan)
+            stop = self.go(place, "resume", name="two")
+            wrong += [] if stop.good else [stop.text]
+            return wrong + check(place.file, self.plan, whole=True)
+        finally:
+            place.close()
+
+    def runner_paused(self, number: int) -> list[str]:
+        """The runner stands still at a point past its lease; another does the rest; then it wakes."""
+        place, left, others = self.place(), number, list[Stop]()
+
+        def at(point: str) -> None:
+            nonlocal left
+            left -= 1
+            if left == -1:
+
+                def other() -> None:
+                    others.append(self.go(place, "resume", name="two"))
+
+                thread = threading.Thread(target=other)
+                thread.start()
+                thread.join()
+
+        try:
+            stop = self.go(place, at=at)
+            wrong = [] if others and others[0].good else [f"the other: {others}"]
+            if "taken over" not in stop.text and "all done" not in stop.text:
+                wrong.append(f"the late one: {stop.text}")
+            return wrong + check(place.file, self.plan, whole=True)
+        finally:
+            place.close()
+
+    def store_hurt(self, kind: str, where: str, skip: int, **more: Any) -> list[str]:
+        """The store does something once; the same runner goes on, or another resumes."""
+        place = self.place()
+        try:
+            place.order(kind=kind, at=where, skip=skip, **more)
+            stop = self.go(place)
+            wrong = check(place.file, self.plan)
+            if not stop.good:
+                stop = self.go(place, "resume", name="two")
+            wrong += [] if stop.good else [stop.text]
+            return wrong + check(place.file, self.plan, whole=True)
+        finally:
+            place.close()
+
+
+def check(file: Path, plan: Steps, whole: bool = False) -> list[str]:
+    """What is wrong with a store's file: an unclear record, effects that the record doesn't tell of or that
+    were had twice, a build with traffic whose writes fail. `whole`: and all steps must be done."""
+    wrong, record = list[str](), Record()
+    db = sqlite3.connect(file, isolation_level=None)
+    try:
+        for seq, body in db.execute("SELECT seq, body FROM ll_record ORDER BY seq").fetchall():
+            record.add(Logged(seq, 0, "", 0.0, msgspec.json.decode(body, type=Entry)))
+        had = {intent for (intent,) in db.execute("SELECT DISTINCT intent FROM ll_marks")}
+        for step in plan.steps:
+            mark = record.marks.get(step.name)
+            if mark is None:
+                continue
+            if step.batch is None:
+                times = db.execute("SELECT COUNT(*) FROM tally WHERE step = ?", (step.name,)).fetchone()[0]
+                told = 1 if mark.stand is Stand.DONE else 0
+                if mark.stand is Stand.INTENDED and mark.intent in had:
+                    told = 1
+                if times != told:
+                    wrong.append(f"{step.name}: had {times} times, the record and its marks say {told}")
+            if whole and mark.stand is not Stand.DONE:
+                wrong.append(f"{step.name}: {mark.stand.value} at the end")
+        backfills = sum(1 for step in plan.steps if step.batch is not None)
+        touched = [n for (n,) in db.execute("SELECT DISTINCT touched FROM offers WHERE id <= ?", (ROWS,))]
+        if max(touched) > backfills or (whole and touched != [backfills]):
+            wrong.append(f"rows were filled {touched} times, of {backfills}")
+        for demands in plan.builds:
+            if record.plans and record.ready(demands.build):
+                db.execute("BEGIN")
+                try:
+                    db.execute(demands.write, {"op": "x"})
+                except sqlite3.Error as fault:
+                    wrong.append(f"build {demands.build} may have traffic, and fails: {fault}")
+                db.execute("ROLLBACK")
+    finally:
+        db.close()
+    return wrong
--- a/lanelead/standins/roster.py
+++ b/lanelead/standins/roster.py
@@ -13,7 +13,7 @@
 from lanelead.http.asks import Ask
 from lanelead.protocols.records import Listed, Row, encode
 from lanelead.standins.capture import Tap, clock
-from lanelead.standins.server import STREAM, Caller, chunk
+from lanelead.http.serving import STREAM, Caller, chunk
 
 
 def relay_of(ask: Ask) -> int:
--- a/lanelead/standins/unit.py
+++ b/lanelead/standins/unit.py
@@ -31,7 +31,7 @@
 from lanelead.http import writing
 from lanelead.http.asks import Ask
 from lanelead.standins.capture import Tap, clock
-from lanelead.standins.server import Caller
+from lanelead.http.serving import Caller
 
 
 class Build(msgspec.Struct):
--- /dev/null
+++ b/tests/test_stepstore.py
@@ -0,0 +1,256 @@
+"""The store of steps: its transactions, its faults, and a plan interrupted at every point."""
+
+from __future__ import annotations
+
+import contextlib
+import sqlite3
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+from click.testing import CliRunner
+
+from lanelead.cli import main
+from lanelead.days.fleet import free_ports
+from lanelead.protocols.steps import AppendAsk, ApplyAsk, Entry, LeaseAsk, Span
+from lanelead.settings.read import read
+from lanelead.settings.records import Steps
+from lanelead.standins.interrupts import Apart, Trial, check, counted
+from lanelead.store.ledger import Denied, Ledger
+from tests.test_steps import PLANS
+
+
+def offers() -> Steps:
+    plan = read(PLANS / "offers.cue")
+    assert isinstance(plan, Steps)
+    return counted(plan)
+
+
+class Transactions(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.now = 0.0
+        self.file = Path(folder.name, "store.db")
+        self.ledger = Ledger(self.file, lambda: self.now)
+        self.addCleanup(lambda: self.ledger.close())
+        self.ledger.db.execute("CREATE TABLE t (id INTEGER PRIMARY KEY, n INTEGER DEFAULT 0)")
+
+    def lease(self, runner: str = "one") -> int:
+        return self.ledger.lease(LeaseAsk(runner, 1000))
+
+    def intent(self, token: int) -> int:
+        return self.ledger.append(AppendAsk(token, self.ledger.last(), Entry("intent", "s"))).seq
+
+    def rows(self) -> list[int]:
+        return [n for (n,) in self.ledger.db.execute("SELECT n FROM t ORDER BY id")]
+
+    def denied(self, why: str) -> contextlib.AbstractContextManager[object]:
+        return self.assertRaisesRegex(Denied, why)
+
+    def test_one_runner_at_a_time_until_its_lease_ends_by_the_stores_clock(self) -> None:
+        self.lease()
+        with self.assertRaisesRegex(Denied, "one runs steps"):
+            self.lease("two")
+        self.now = 1.5
+        self.assertEqual(self.lease("two"), 2)
+
+    def test_what_comes_under_an_earlier_token_changes_nothing(self) -> None:
+        token = self.lease()
+        intent = self.intent(token)
+        self.now = 2.0
+        self.lease("two")
+        for call in (
+            lambda: self.ledger.append(AppendAsk(token, 1, Entry("done", "s"))),
+            lambda: self.ledger.apply(ApplyAsk(token, intent, 0, ("INSERT INTO t (n) VALUES (1)",))),
+            lambda: self.ledger.renew(token),
+            lambda: self.ledger.forget(token, 0),
+        ):
+            with self.denied("token 1"):
+                call()
+        self.assertEqual((self.rows(), self.ledger.last()), ([], 1))
+
+    def test_an_entry_goes_right_after_the_last_that_its_writer_knows(self) -> None:
+        token = self.lease()
+        self.intent(token)
+        with self.denied("stands at 1"):
+            self.ledger.append(AppendAsk(token, 0, Entry("done", "s")))
+
+    def test_an_intent_waits_for_every_relay_that_was_told(self) -> None:
+        token = self.lease()
+        self.ledger.told(4)
+        closing = self.ledger.append(AppendAsk(token, 0, Entry("closing", "s"))).seq
+        ask = AppendAsk(token, closing, Entry("intent", "s", closed=closing))
+        with self.denied(r"relays \[4\]"):
+            self.ledger.append(ask)
+        self.ledger.seen(4, closing + 100)  # no relay has seen what is not written
+        self.assertEqual(self.ledger.unseen(closing + 1), [4])
+        self.ledger.append(ask)
+
+    def test_a_relay_that_is_gone_for_good_is_forgotten_by_word_only(self) -> None:
+        token = self.lease()
+        self.ledger.told(4)
+        self.ledger.told(5)
+        self.ledger.forget(token, 4)
+        self.assertEqual(self.ledger.unseen(1), [5])
+
+    def test_an_effect_and_its_mark_are_one(self) -> None:
+        token = self.lease()
+        ask = ApplyAsk(
+            token, self.intent(token), 0, ("INSERT INTO t (n) VALUES (1)", "INSERT INTO nowhere VALUES (1)")
+        )
+        with self.denied("nowhere"):
+            self.ledger.apply(ask)
+        self.assertEqual((self.rows(), self.ledger.marks(1).parts), ([], 0))
+        good = msgspec.structs.replace(ask, statements=ask.statements[:1])
+        for _ in range(3):
+            self.assertEqual(self.ledger.apply(good).parts, 1)
+        self.assertEqual(self.rows(), [1])
+
+    def test_no_effect_without_an_intent(self) -> None:
+        token = self.lease()
+        with self.denied("entry 1 is none"):
+            self.ledger.apply(ApplyAsk(token, 1, 0, ("INSERT INTO t (n) VALUES (1)",)))
+
+    def test_statements_can_not_end_the_transaction_nor_touch_the_record(self) -> None:
+        token = self.lease()
+        intent = self.intent(token)
+        for text in (
+            "COMMIT", "ROLLBACK", "SAVEPOINT x", "PRAGMA synchronous = OFF", "ATTACH '/dev/null' AS x",
+            "DELETE FROM ll_record", "UPDATE LL_lease SET token = 9", "DROP TABLE ll_marks",
+            "SELECT * FROM ll_marks",
+        ):  # fmt: skip
+            with self.assertRaises(Denied, msg=text) as caught:
+                self.ledger.apply(ApplyAsk(token, intent, 0, ("INSERT INTO t (n) VALUES (1)", text)))
+            self.assertEqual(caught.exception.why, "failed")
+        self.assertEqual((self.rows(), self.ledger.last()), ([], 1))
+
+    def test_a_backfill_goes_by_keys_and_ends_with_the_rows(self) -> None:
+        self.ledger.db.executemany("INSERT INTO t (id) VALUES (?)", [(n,) for n in (-5, 1, 2, 9, 40)])
+        token = self.lease()
+        intent, low, seen = self.intent(token), None, list[tuple[int | None, bool, int]]()
+        for part in range(3):
+            text = "UPDATE t SET n = n + 1 WHERE id > :low AND id <= :high"
+            marks = self.ledger.apply(ApplyAsk(token, intent, part, (text,), Span("t", "id", 2, low)))
+            low = marks.cursor
+            seen.append((low, marks.finished, marks.rows))
+        self.assertEqual(seen, [(1, False, 2), (9, False, 4), (40, True, 5)])
+        self.assertEqual(self.rows(), [1] * 5)
+        self.ledger.db.execute("DELETE FROM t")
+        other = self.intent(token)
+        marks = self.ledger.apply(ApplyAsk(token, other, 0, (text,), Span("t", "id", 2, None)))
+        self.assertTrue(marks.finished)
+
+    def test_all_is_there_after_the_process_ends_and_its_clock_starts_anew(self) -> None:
+        self.now = 500.0
+        token = self.lease()
+        self.intent(token)
+        self.ledger.close()
+        self.now = 0.0
+        self.ledger = Ledger(self.file, lambda: self.now)
+        with self.assertRaises(Denied):
+            self.lease("two")
+        self.assertEqual(self.ledger.last(), 1)
+        self.now = 1.1
+        self.assertEqual(self.lease("two"), 2)
+
+
+class Interrupted(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.trial = Trial(offers(), Path(folder.name))
+
+    def test_a_runner_killed_at_every_point(self) -> None:
+        points = self.trial.count()
+        self.assertGreater(len(points), 60)
+        for number, point in enumerate(points):
+            self.assertEqual(self.trial.runner_killed(number), [], f"at {number}, {point}")
+
+    def test_a_runner_that_stood_still_past_its_lease_changes_nothing_when_it_wakes(self) -> None:
+        points = self.trial.count()
+        for number in range(2, len(points), 6):  # the rest by hand: benchmarks/step_interrupts.py
+            self.assertEqual(self.trial.runner_paused(number), [], f"at {number}, {points[number]}")
+
+    def test_a_store_whose_transactions_are_cut_at_every_point(self) -> None:
+        for point in ("before", "mid", "commit", "after"):
+            for call, many in (("apply", 16), ("append", 18)):
+                if (call, point) != ("append", "mid"):
+                    for skip in range(0, many, 4):
+                        case = call, point, skip
+                        self.assertEqual(self.trial.store_hurt("cut", f"{call}.{point}", skip), [], case)
+
+    def test_a_store_that_refuses_drops_or_is_late(self) -> None:
+        for kind, path, more in (
+            ("refuse", "/apply", {}), ("drop", "/apply", {}), ("drop", "/record", {}), ("drop", "/lease", {}),
+            ("refuse", "/record", {}), ("late", "/apply", {"size": 0.05}), ("drop", "/marks", {}),
+        ):  # fmt: skip
+            self.assertEqual(
+                self.trial.store_hurt(kind, path, 3 if path != "/lease" else 0, **more), [], kind
+            )
+
+    def test_a_full_disk_is_failed_at_with_what_was_done_and_resumed_when_there_is_room(self) -> None:
+        place = self.trial.place()
+        self.addCleanup(place.close)
+        place.order(kind="full")
+        stop = self.trial.go(place)
+        self.assertIn("full", stop.text)
+        self.assertEqual(check(place.file, self.trial.plan), [])
+        place.order(kind="full", on=False)
+        self.assertTrue(self.trial.go(place, "resume").good)
+        self.assertEqual(check(place.file, self.trial.plan, whole=True), [])
+
+    def test_the_checker_sees_what_it_is_for(self) -> None:
+        place = self.trial.place()
+        self.trial.go(place)
+        place.close()
+        for text, said in (
+            ("INSERT INTO tally VALUES ('add-cents')", "had 2 times"),
+            ("DELETE FROM tally WHERE step = 'add-notes'", "had 0 times"),
+            ("UPDATE offers SET touched = 3 WHERE id = 7", "rows were filled"),
+            ("ALTER TABLE offers DROP COLUMN currency", "build 2 may have traffic, and fails"),
+            ("DELETE FROM ll_record WHERE seq = (SELECT MAX(seq) FROM ll_record)", "intended at the end"),
+        ):
+            copy = place.file.with_name("copy.db")
+            copy.write_bytes(place.file.read_bytes())
+            db = sqlite3.connect(copy)
+            db.execute(text)
+            db.commit()
+            db.close()
+            self.assertIn(said, " ".join(check(copy, self.trial.plan, whole=True)))
+
+
+class Processes(unittest.TestCase):
+    def test_the_command_line_runs_a_plan_on_a_store_that_is_killed_on_the_way(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            trial = Trial(offers(), Path(name), lambda file: Apart(file, free_ports(1)[0]))
+            place = trial.place()
+            self.addCleanup(place.close)
+            plan = Path(name, "offers.cue")
+            plan.write_bytes(
+                msgspec.json.format(msgspec.json.encode({"steps": msgspec.to_builtins(trial.plan)}))
+            )
+
+            def call(*args: str) -> tuple[int, str]:
+                result = CliRunner().invoke(main, ["steps", *args, "--store", f"127.0.0.1:{place.port}"])
+                return result.exit_code, result.output
+
+            self.assertIn("no plan", call("status")[1])
+            place.order(kind="kill", at="apply.commit", skip=1)
+            code, said = call("run", str(plan), "--to", "add-currency")
+            self.assertEqual((code, said.splitlines()[-1]), (0, "all done"), said)
+            self.assertEqual(check(place.file, trial.plan), [])
+            self.assertIn("may have traffic, until 'drop-price' begins", call("status")[1])
+            code, said = call("run", str(plan))
+            self.assertEqual(code, 3)
+            self.assertIn("say --past-back", said)
+            self.assertEqual(call("run", str(plan), "--past-back")[0], 0)
+            self.assertEqual(call("undo", str(plan))[0], 3)  # its last step can't be undone
+            self.assertEqual(check(place.file, trial.plan, whole=True), [])
+            place.close()
+            self.assertEqual(call("status")[0], 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
