Relays withhold a build until its steps are done, and say when they have seen a closing

Need: no traffic to a build before its needs are done, no vote past the stage that has more of them, and no change under traffic that is still on its way.

Change: a join without I/O (lanelead/steps/join.py) that the driver asks when units are listed, right before a trip's first byte and when the decisions vote 'on'; a build that must wait counts as draining for the ordinary path. The service follows the record and vouches for a closing once no trip is out, or may still run, that it forbids.

--- a/lanelead/days/commands.py
+++ b/lanelead/days/commands.py
@@ -55,7 +55,7 @@
 @click.option("--capture", type=click.Path(file_okay=False), help="Where the capture is kept.")
 @click.option(
     "--seam",
-    type=click.Choice(["answers", "effects", "drains", "cold", "exposure", "strangers"]),
+    type=click.Choice(["answers", "effects", "drains", "cold", "exposure", "strangers", "steps"]),
     help="Takes that guard out of the relays, to see the judge catch it.",
 )
 @click.option("--quiet", is_flag=True, help="Only the verdict.")
--- a/lanelead/days/fleet.py
+++ b/lanelead/days/fleet.py
@@ -120,6 +120,8 @@
         self.tap = Tap(folder, "processes")
         self.machines: dict[str, Machine] = {}
         self.builds: dict[int, Build] = {1: Build(1)}
+        self.store = 0  # the port of the store of steps, if there is one
+        self.writes: dict[int, str] = {}  # how each build files an effectful lookup there
         spread = day.units.speed_spread
         self._speeds = [self._chance.uniform(1 - spread, 1 + spread) for _ in range(day.units.count)]
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -181,6 +183,8 @@
             errors=units.errors,
             speed=self._speeds[machine.place],
             build=machine.build,
+            store=self.store,
+            write=self.writes.get(machine.build.number, ""),
         )
         text = msgspec.json.encode(life).decode()
         machine.process = await Process.start(
--- a/lanelead/days/judge.py
+++ b/lanelead/days/judge.py
@@ -12,6 +12,11 @@
 
  spill     a relay's trips outside its own zone within the stated part of what those units would do for it
  returns   no returning unit sent more than its fresh-start load: what it can do as warm as it is
+
+Where it has a store of steps, one more:
+
+ steps     no lookup filed against a schema that its build does not fit, no trip to a build that must wait,
+           no effect but of the intent under way and once, and a record that is clear at the end
 """
 
 from __future__ import annotations
@@ -26,7 +31,9 @@
 import msgspec
 
 from lanelead.settings import records
+from lanelead.protocols.steps import Logged
 from lanelead.standins.capture import BadCapture, read
+from lanelead.steps.record import Broken, Record, Stand
 
 NEAR = 0.2  # seconds that may lie between the two ends of a socket
 CASES = 20  # cases told of each rule
@@ -154,6 +161,9 @@
         verdict.rules |= {name: Finding() for name in ZONES}
         _spill(capture, capture.day.spill, verdict.rules["spill"])
         _returns(capture, verdict.rules["returns"])
+    if capture.day.steps is not None:
+        verdict.rules["steps"] = Finding()
+        _steps(capture, verdict.rules["steps"])
     verdict.builds = _builds(capture)
     return verdict
 
@@ -366,6 +376,56 @@
     _overdone(capture, 2.0, 1.0, 4, finding)
 
 
+def _steps(capture: Capture, finding: Finding) -> None:
+    record, had = Record(), set[tuple[int, int]]()
+    shut: dict[int, float | None] = {}  # since when a build has no traffic, by the record
+    spans: dict[int, Spans] = defaultdict(Spans)
+    facts = sorted((*capture["entry"], *capture["effect_asked"]), key=lambda fact: fact["t"])
+    for fact in facts:
+        if fact["ev"] == "effect_asked":
+            _effect_of_step(fact, record, had, finding)
+            continue
+        logged = msgspec.convert({key: fact[key] for key in Logged.__struct_fields__}, Logged)
+        try:
+            record.add(logged)
+        except Broken as fault:
+            finding.breach(f"entry {logged.seq}: {fault}")
+            return
+        finding.seen += 1
+        for build in record.builds():
+            if record.ready(build) and (since := shut.get(build)) is not None:
+                spans[build].add(since, fact["t"])
+                shut[build] = None
+            elif not record.ready(build) and shut.get(build) is None:
+                shut[build] = fact["t"]
+    for build, since in shut.items():
+        if since is not None:
+            spans[build].add(since, float("inf"))
+    for filed in capture["filed"]:
+        finding.seen += 1
+        if filed["why"]:
+            finding.breach(f"{filed['op']} filed by build {filed['build']}: {filed['why']}")
+    for trip in capture["trip"]:
+        within = (start for start, end in spans[trip["build"]].rows if start + NEAR < trip["t"] < end)
+        if (start := next(within, None)) is not None and not capture.still(trip):
+            late = trip["t"] - start
+            finding.breach(f"{trip['id']} sent to build {trip['build']}, {late:.1f} s after it had to wait")
+    if (mark := record.under_way()) is not None:
+        finding.breach(f"{mark.step.name!r} is {mark.stand.value} at the end")
+
+
+def _effect_of_step(fact: Fact, record: Record, had: set[tuple[int, int]], finding: Finding) -> None:
+    if fact["status"] != 200:
+        return
+    finding.seen += 1
+    mark, at = record.under_way(), (fact["intent"], fact["part"])
+    if mark is None or mark.stand is not Stand.INTENDED or mark.intent != fact["intent"]:
+        finding.breach(f"part {fact['part']} of intent {fact['intent']} had, which is not under way")
+    if fact["said"]["parts"] != len({part for intent, part in had | {at} if intent == at[0]}):
+        finding.breach(f"intent {fact['intent']}: {fact['said']['parts']} parts had, of which some unasked")
+    had.add(at)
+
+
 @dataclass(slots=True)
 class Told:
     t: float
--- a/lanelead/days/play.py
+++ b/lanelead/days/play.py
@@ -6,7 +6,9 @@
 import contextlib
 import signal
 import socket
+import sqlite3
 from collections.abc import Awaitable, Callable
+from importlib.resources import files
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -15,6 +17,7 @@
 
 from lanelead.days.fleet import Fleet, Machine, Process, free_ports
 from lanelead.settings import records
+from lanelead.settings.read import read
 from lanelead.standins.capture import Tap, clock
 from lanelead.standins.clients import Crowd
 from lanelead.standins.desk import Desk
@@ -35,6 +38,12 @@
 )
 
 
+def plan_file(name: str) -> Path:
+    """A plan that comes with lanelead, or a file."""
+    ours = Path(str(files("lanelead.days").joinpath("plans", f"{name}.cue")))
+    return ours if ours.exists() else Path(name)
+
+
 class Post:
     """Carries datagrams between relays, late, and loses some on demand."""
 
@@ -83,12 +92,14 @@
         self.relays: dict[int, Process] = {}
         self._files: dict[int, Path] = {}
         self.clients: Process | None = None
+        self.store: Process | None = None
+        self._runners: list[Process] = []
         self._began = 0.0
 
     async def run(self) -> None:
         day = self.day
         (self.folder / "day.json").write_bytes(msgspec.json.encode(day))
-        ports = free_ports(2 + day.relays)
+        ports = free_ports(3 + day.relays)
         letters = free_ports(day.relays, socket.SOCK_DGRAM)
         self.roster = Roster(self.folder, ports[0], day.roster.late_ms / 1000)
         self.desk = Desk(
@@ -106,11 +117,13 @@
         await self.roster.open()
         await self.desk.open()
         try:
+            if day.steps is not None:
+                await self._open_store(day.steps, ports[-1])
             await self.fleet.start_build(1, list(range(day.units.count)), False)
             for machine in self.fleet.machines.values():
                 self.roster.list_now(self.fleet.row(machine, "ready", False))
             boxes = [self.post.box(port) for port in letters]
-            addresses = [("127.0.0.1", port) for port in ports[2:]]
+            addresses = [("127.0.0.1", port) for port in ports[2 : 2 + day.relays]]
             for number in range(day.relays):
                 self._write(number, ports, letters, boxes)
             await asyncio.gather(*(self.start_relay(number) for number in range(day.relays)))
@@ -133,6 +146,7 @@
             self._began = clock()
             self.tap.note("begin", seconds=day.seconds, seed=self.seed)
             script = [self._offers(), *(self._event(event) for event in day.events)]
+            script += [self._steps(run) for run in (day.steps.runs if day.steps else [])]
             for part in script:
                 self.fleet.task(part)
             longest = max(lane.outer_limit_ms for lane in day.service.lanes) / 1000
@@ -152,6 +166,9 @@
         if self.clients is not None:
             await self.clients.end(0.1)
         await self.fleet.close()
+        for process in (*self._runners, *([self.store] if self.store else [])):
+            process.signal(signal.SIGTERM)
+            await process.end(5)
         self.post.close()
         self.roster.close()
         self.desk.close()
@@ -182,6 +199,8 @@
                 },
             }
         }
+        if day.steps is not None:
+            settings["relay"]["steps"] = {"address": {"host": host, "port": ports[-1]}, **feed}
         if day.spill is not None:
             mine = zones[number % len(zones)]
             others = [zone for zone in zones if zone != mine]
@@ -201,6 +220,45 @@
         self.relays[number] = relay
         self.tap.note("relay_start", relay=number, pid=relay.process.pid)
 
+    # Steps
+
+    async def _open_store(self, steps: records.StepsOfDay, port: int) -> None:
+        file, day = self.folder / "store.db", self.folder
+        db = sqlite3.connect(file)
+        db.execute("CREATE TABLE offers (id INTEGER PRIMARY KEY, op TEXT, price TEXT)")
+        rows = ((f"before-{n}",) for n in range(steps.rows))
+        db.executemany("INSERT INTO offers (op, price) VALUES (?, '10.25')", rows)
+        db.commit()
+        db.close()
+        for run in steps.runs:
+            plan = read(plan_file(run.plan))
+            assert isinstance(plan, records.Steps)
+            self.fleet.writes |= {demands.build: demands.write for demands in plan.builds if demands.write}
+        args = ["lanelead.standins.stepstore", str(file), str(port), str(day)]
+        self.store = await Process.start("store", day / "errors.log", *args)
+        await self.store.ready()
+        self.fleet.store = port
+
+    async def _steps(self, run: records.StepsRun) -> None:
+        """One runner's process, killed on the way where the script says so."""
+        await self._until(run.at)
+        words = [str(plan_file(run.plan)), "--store", f"127.0.0.1:{self.fleet.store}"]
+        args = ["lanelead", "steps", "plan" if run.what == "take" else run.what, *words]
+        if run.what != "take":
+            args += ["--ttl", "1", "--to", run.to, *(["--past-back"] if run.past_back else [])]
+        process = await Process.start("steps", self.folder / "steps.log", *args)
+        self._runners.append(process)
+        self.tap.note("steps", asked=run.what, plan=run.plan, pid=process.process.pid)
+        self._say(f"{clock() - self._began:5.1f} s  steps {run.what} {run.plan}")
+        if run.kill_after is not None:
+            await asyncio.sleep(run.kill_after)
+            process.signal(signal.SIGKILL)
+            self._say(f"{clock() - self._began:5.1f} s  its runner is killed")
+        said, _ = await process.process.communicate()
+        self.tap.note("steps_end", plan=run.plan, code=process.process.returncode)
+        last = said.decode().strip().splitlines()[-1:] or ["nothing"]
+        self._say(f"{clock() - self._began:5.1f} s  steps {run.what} {run.plan}: {last[0]}")
+
     # Builds
 
     async def _offers(self) -> None:
--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from heapq import heappop, heappush
 from typing import Protocol
@@ -50,6 +50,8 @@
     Watch,
 )
 from lanelead.protocols.records import Listed, NewsLine
+from lanelead.protocols.steps import Page
+from lanelead.steps.join import Readiness
 
 WORDS = {"done": Fate.DONE, "moot": Fate.UNSENT, "overloaded": Fate.TURNED_AWAY, "failed": Fate.ERROR}
 PHASES = {phase.name.lower(): phase for phase in Phase}
@@ -113,6 +115,7 @@
     left: int = 0
     at_the_door: int = 0  # shed before they were taken: the allowance was used up
     trips: int = 0
+    withheld: int = 0  # votes 'on' past a stage whose needs are not done
     fates: dict[Fate, int] = field(default_factory=dict)
 
 
@@ -126,11 +129,15 @@
         duties: Duties,
         open_lookups: int,
         longest_advice: Ticks,
+        readiness: Readiness | None = None,
     ) -> None:
         self.decisions, self._hands, self._clock = decisions, hands, clock
         self.lanes = {lane.name: lane for lane in lanes}
         self._order, self._duties = list(lanes), duties
         self._most_open, self._advice = open_lookups, longest_advice
+        self.readiness = readiness  # None: no steps are run, and every build that is listed is there
+        self._listings: dict[Unit, Listing] = {}  # as the roster told them, where steps are run
+        self._unsaid = 0  # votes that were withheld, and that the decisions are to hear of
         self.door = Door(decisions.meet)
         self.places: dict[Unit, Destination] = {}
         self.tickets: dict[Lookup, Ticket] = {}
@@ -188,6 +195,7 @@
             if closed and not ticket.answered:
                 self._answer(ticket, Outcome.DONE, trip, answer, 0)
         self.counts.fates[fate] = self.counts.fates.get(fate, 0) + 1
+        self._known(trip, fate)
         self.decisions.ended(trip, fate, closed, now - trip.sent, report)
         self._carry()
 
@@ -218,9 +226,49 @@
         coverage = Coverage.FULL if listed.coverage == "full" else Coverage.CHANGES
         if not self._listed:
             coverage, self._listed = Coverage.CACHED, True
+        if self.readiness is not None:
+            listings = self._withhold(coverage, listings)
         self.decisions.roster(coverage, listings)
         self._carry()
 
+    def _withhold(self, coverage: Coverage, listings: list[Listing]) -> list[Listing]:
+        """The same, with units of builds that may have no traffic told as draining: they count as not
+        there."""
+        assert self.readiness is not None
+        if coverage is not Coverage.CHANGES:
+            self._listings.clear()
+        for listing in listings:
+            if listing.condition is Condition.GONE:
+                self._listings.pop(listing.unit, None)
+            else:
+                self._listings[listing.unit] = listing
+        self.readiness.listed(listing.build for listing in self._listings.values())
+        return [self._as_ready(listing) for listing in listings]
+
+    def _as_ready(self, listing: Listing) -> Listing:
+        assert self.readiness is not None
+        if listing.condition is not Condition.READY or self.readiness.open(listing.build):
+            return listing
+        return replace(listing, condition=Condition.DRAINING)
+
+    def steps(self, page: Page) -> None:
+        """The record of steps has grown. Raises Malformed where it follows no rules."""
+        assert self.readiness is not None
+        self._now()
+        self.readiness.hear(page.entries)
+        self._relist()
+        self._carry()
+
+    def _relist(self) -> None:
+        """Tells the decisions of units whose build may have traffic now, or may not any more."""
+        changed = []
+        for listing in self._listings.values():
+            told = self._as_ready(listing)
+            if told.condition is not listing.unit.condition:
+                changed.append(told)
+        if changed:
+            self.decisions.roster(Coverage.CHANGES, changed)
+
     def roster_failed(self) -> None:
         self._now()
         self.decisions.roster(Coverage.FAILED, [])
@@ -234,6 +282,9 @@
         else:
             age = int(line.age_ms * 10)
             news = News(line.build, line.stage, PHASES[line.phase], line.cap, age, answer, word)
+        if self.readiness is not None and line is not None:
+            self.readiness.news(line.build, line.stage, line.phase == "trial")
+            self._relist()
         self.decisions.news(news)
         self._carry()
 
@@ -258,8 +309,16 @@
         place = self.places.get(trip.unit)
         if place is None or trip.unit.condition is not Condition.READY or trip.lookup.over:
             return None
+        if self.readiness is not None and not self.readiness.open(place.build):
+            return None
         return place
 
+    def _known(self, trip: Trip, fate: Fate) -> None:
+        """A trip's end, for the steps: one that may still run at its unit holds a closing up."""
+        if self.readiness is not None:
+            known = fate in (Fate.DONE, Fate.ERROR, Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
+            self.readiness.ended(trip, known)
+
     def tick(self) -> None:
         """Handles all timers that have fallen due."""
         now = self._now()
@@ -316,13 +375,16 @@
         self._carrying = True
         decisions = self.decisions
         try:
-            while decisions.acts or self._soon:
+            while decisions.acts or self._soon or self._unsaid:
                 acts, decisions.acts = decisions.acts, []
                 for act in acts:
                     self._do(act)
                 if not decisions.acts and self._soon:
                     trip, fate = self._soon.popleft()
                     self._stop(trip, fate)
+                elif not decisions.acts and self._unsaid:
+                    self._unsaid -= 1
+                    decisions.news(News(0, 0, Phase.TRIAL, 0.0, 0, True, Fate.UNSENT))
         finally:
             self._carrying = False
 
@@ -335,6 +397,7 @@
         if ticket is not None:
             ticket.late = fate is Fate.TIMED_OUT
         self.counts.fates[fate] = self.counts.fates.get(fate, 0) + 1
+        self._known(trip, fate)
         self.decisions.ended(trip, fate, False, self.decisions.now - trip.sent, None)
 
     def _do(self, act: Act) -> None:
@@ -355,6 +418,8 @@
             return
         self.counts.trips += 1
         self._at(trip.sent + trip.limit, trip)
+        if self.readiness is not None and (place := self.places.get(trip.unit)) is not None:
+            self.readiness.sent(place.build, trip)
         self._hands.send(trip, ticket)
 
     def _do_rest(self, act: Act) -> None:
@@ -374,7 +439,7 @@
             case Tell(peer, sightings):
                 self._tell(peer, sightings)
             case Vote():
-                self._hands.vote(act)
+                self._vote(act)
             case Watch(on):
                 self._hands.watch(on)
             case Fetch():
@@ -382,6 +447,15 @@
             case Note(text):
                 self._hands.note(text)
 
+    def _vote(self, vote: Vote) -> None:
+        """No 'on' past the stage whose needs are not done: it is as if the call had not been made."""
+        ready = self.readiness is None or self.readiness.votes_on(vote.build, vote.stage)
+        if vote.verdict is Verdict.ON and not ready:
+            self.counts.withheld += 1
+            self._unsaid += 1
+        else:
+            self._hands.vote(vote)
+
     def _tell(self, peer: int | None, sightings: Sequence[Sighting]) -> None:
         self._hands.tell(peer, pack(sightings, self._order))
 
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -10,15 +10,17 @@
 from random import Random
 from typing import Any
 
-from lanelead.interface import Decisions, Fate, Member, Ticks, Trip, Unit, Vote
+from lanelead.interface import Decisions, Duties, Fate, Lane, Member, Ticks, Trip, Unit, Vote
 from lanelead.protocols import datagrams
 from lanelead.protocols.records import Listed, Malformed, NewsLine, VoteAnswer, VoteAsk, decode, encode
+from lanelead.protocols.steps import Page, SeenAsk
 from lanelead.http.calls import Failed, call, stream
 from lanelead.relay.driver import VERDICTS, WORDS, Driver, Ticket
 from lanelead.relay.gate import Gate
 from lanelead.relay.links import Links
 from lanelead.rules import Relay
 from lanelead.settings import records
+from lanelead.steps.join import Readiness
 from lanelead.zones import ANYWHERE
 
 EPOCH: Ticks = 36_000_000  # the clock at the start: an hour, so that units older than the relay have a past
@@ -90,11 +92,20 @@
             duties,
             allowance.open_lookups,
             records.ticks(allowance.longest_advice_ms),
+            self._readiness(lanes, duties),
         )
         self._links.driver = self.driver
         self.gate = Gate(self._loop, service, self.driver, self.clock, self.state, self._log, members)
         self.gate.after = self._links.after = self._after
 
+    def _readiness(self, lanes: Sequence[Lane], duties: Duties) -> Readiness | None:
+        if self._settings.steps is None:
+            return None
+        # What a unit has begun by a trip's outer limit it ends within some expected times.
+        grace = duties.answer_slack + 2 * max(lane.expected_time for lane in lanes)
+        longest = max(lane.outer_limit for lane in lanes)
+        return Readiness(grace, self.clock() + longest + grace)
+
     async def run(self, ready: Callable[[str, int], None] = lambda host, port: None) -> None:
         """Serves until told to stop: SIGTERM or SIGINT drains, a second one ends at once."""
         self._build()
@@ -103,6 +114,10 @@
         if self._settings.discovery == "automatic":
             self.watch(True)
         self._feed("desk", self._desk())
+        if self._settings.steps is not None:
+            self._up["steps"] = False
+            self._feed("steps", self._steps(self._settings.steps))
+            self._task(self._vouch(self._settings.steps))
         if self._settings.peers is not None:
             self._open_peers(self._settings.peers)
         # A relay without a list would shed all: it waits for one, but not for ever.
@@ -201,6 +216,7 @@
             "broken_off": counts.broken_off,
             "left": counts.left,
             "at_the_door": counts.at_the_door,
+            "withheld": counts.withheld,
             "trips": counts.trips,
             "fates": {fate.value: many for fate, many in counts.fates.items()},
             "open": len(self.driver.tickets),
@@ -272,7 +288,7 @@
         self._dropped[why] = self._dropped.get(why, 0) + 1
 
     async def _follow(
-        self, name: str, path: bytes, feed: records.Feed, heard: Callable[[bytes], None]
+        self, name: str, path: Callable[[], bytes], feed: records.Feed, heard: Callable[[bytes], None]
     ) -> None:
         """Reads a stream for ever, and comes back to it after a growing wait with a random part."""
         wait = feed.least_wait_ms / 1000
@@ -280,7 +296,7 @@
             if name == "roster":
                 self._offset = None  # the roster's clock is read anew on each stream
             try:
-                async for line in stream(self._loop, feed.address, path, feed.silence_ms / 1000):
+                async for line in stream(self._loop, feed.address, path(), feed.silence_ms / 1000):
                     heard(line)
                     wait = feed.least_wait_ms / 1000
                     if not self._up[name]:
@@ -311,14 +327,43 @@
             self._knows.set()
 
         await self._follow(
-            "roster", b"/roster/watch?relay=%d" % self._settings.number, self._settings.roster, heard
+            "roster", lambda: b"/roster/watch?relay=%d" % self._settings.number, self._settings.roster, heard
         )
 
     async def _desk(self) -> None:
         def heard(line: bytes) -> None:
             self.driver.news(decode(line, NewsLine), False, Fate.DONE)
 
-        await self._follow("desk", b"/news?relay=%d" % self._settings.number, self._settings.desk, heard)
+        path = b"/news?relay=%d" % self._settings.number
+        await self._follow("desk", lambda: path, self._settings.desk, heard)
+
+    async def _steps(self, feed: records.Feed) -> None:
+        """The record of steps, from where it was last read."""
+        readiness = self.driver.readiness
+        assert readiness is not None
+
+        def path() -> bytes:
+            return b"/record/watch?relay=%d&since=%d" % (self._settings.number, readiness.record.seq)
+
+        await self._follow("steps", path, feed, lambda line: self.driver.steps(decode(line, Page)))
+
+    async def _vouch(self, feed: records.Feed) -> None:
+        """Tells the store that a closing is seen, once nothing is out that it forbids."""
+        readiness = self.driver.readiness
+        assert readiness is not None
+        while True:
+            await asyncio.sleep(feed.least_wait_ms / 1000)
+            if owed := readiness.owes(self.clock()):
+                body = encode(SeenAsk(self._settings.number, owed))
+                limit = feed.silence_ms / 1000
+                try:
+                    answer = await call(self._loop, feed.address, "POST", b"/seen", body, limit)
+                except (Failed, TimeoutError) as fault:
+                    self._log.warning("store not told", reason=str(fault))
+                    continue
+                if answer.status == 200:
+                    readiness.seen = max(readiness.seen, owed)
+                    self._log.info("traffic ended for a step", closing=owed)
 
     async def _fetch(self) -> None:
         feed = self._settings.roster
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -143,6 +143,8 @@
 	desk:      #Feed
 	peers?:    #Peers
 	spill?:    #Spill
+	// The store of steps: builds have traffic as the record allows. Without it every listed build is there.
+	steps?:    #Feed
 	log:       *"json" | "console"
 }
 
@@ -239,8 +241,22 @@
 		grow:   (number & >0 & <=100) | *1
 		shrink: (number & >0 & <=100) | *2
 	}
+	// A store with an offers table, and runners of the plans that come with lanelead or lie in a file.
+	steps?: {
+		rows: #Count | *2000
+		runs: [#StepsRun, ...#StepsRun]
+	}
 	slack_ms: #Ms | *400
-	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure" | "strangers"
+	seam?:   "answers" | "effects" | "drains" | "cold" | "exposure" | "strangers" | "steps"
+}
+
+#StepsRun: {
+	at:          #At
+	plan:        string
+	what:        *"run" | "undo" | "resume" | "take"
+	to:          string | *""
+	past_back:   bool | *false
+	kill_after?: number & >0
 }
 
 // A plan of schema and data steps, and which builds work on which states of it. See docs/steps.md.
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -232,6 +232,7 @@
     log: str
     peers: Peers | None = None
     spill: Spill | None = None
+    steps: Feed | None = None
 
 
 class Units(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -301,6 +302,22 @@
     zone: str | None = None
 
 
+class StepsRun(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A runner's process: when it starts, what it is told, and when it is killed."""
+
+    at: float
+    plan: str
+    what: str
+    to: str
+    past_back: bool
+    kill_after: float | None = None
+
+
+class StepsOfDay(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    rows: int  # offers that are there at the start
+    runs: list[StepsRun]
+
+
 class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: str
     says: str
@@ -316,6 +333,7 @@
     slack_ms: float
     seam: str | None = None
     spill: Overflow | None = None
+    steps: StepsOfDay | None = None
 
 
 TARIFF = interface.Tariff(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0)  # prices are the bench's: none here
--- a/lanelead/standins/saboteur.py
+++ b/lanelead/standins/saboteur.py
@@ -29,6 +29,7 @@
 from lanelead.relay.main import run
 from lanelead.settings.read import read
 from lanelead.settings.records import Relay
+from lanelead.steps.join import Readiness
 
 
 class Seam:
@@ -153,12 +154,16 @@
     "cold": Cold,
     "exposure": Exposure,
     "strangers": Strangers,
+    "steps": Seam,
 }
 
 
 def main() -> None:
     settings = read(sys.argv[2])
     assert isinstance(settings, Relay)
+    if sys.argv[1] == "steps":  # every build that is listed may have traffic, whatever the record says
+        for name in ("open", "votes_on"):
+            setattr(Readiness, name, lambda *_: True)
     run(settings, settings.log, SEAMS[sys.argv[1]])
 
 
--- a/lanelead/standins/unit.py
+++ b/lanelead/standins/unit.py
@@ -30,8 +30,11 @@
 
 from lanelead.http import writing
 from lanelead.http.asks import Ask
-from lanelead.standins.capture import Tap, clock
+from lanelead.http.calls import Failed, call
 from lanelead.http.serving import Caller
+from lanelead.protocols.steps import Told
+from lanelead.settings.records import Address
+from lanelead.standins.capture import Tap, clock
 
 
 class Build(msgspec.Struct):
@@ -66,6 +69,8 @@
     errors: float
     speed: float
     build: Build
+    store: int = 0  # the port of the store where effectful lookups are filed; 0: none
+    write: str = ""  # how the build files them
 
 
 class Job:
@@ -101,6 +106,7 @@
         self.draining = False
         self.fallen = False
         self.over = asyncio.Event()
+        self._filing = set[asyncio.Task[None]]()
 
     async def open(self) -> int:
         life = self.life
@@ -236,9 +242,33 @@
         self._loop.call_later(job.work / max(1e-3, self._pace(job)), self._end, job)
 
     def _end(self, job: Job) -> None:
+        if self.life.store and job.ask.method not in ("GET", "HEAD"):
+            task = self._loop.create_task(self._file(job))
+            self._filing.add(task)
+            task.add_done_callback(self._filing.discard)
+        else:
+            self._ended(job, True)
+
+    async def _file(self, job: Job) -> None:
+        """Files a lookup where the schema is. What does not fit is an error: the client learns that, and the
+        capture that a relay sent it here."""
+        address, fits = Address("127.0.0.1", self.life.store), False
+        body = msgspec.json.encode(Told(self.life.build.number, job.op, self.life.write))
+        try:
+            answer = await call(self._loop, address, "POST", b"/file", body, 2.0)
+            fits = answer.status == 200
+        except (Failed, TimeoutError):
+            self._tap.note("unfiled", id=job.ident, op=job.op)
+        self._ended(job, fits)
+
+    def _ended(self, job: Job, fits: bool) -> None:
         self._busy -= 1
         if not self.fallen and "mute" not in self._faults:
-            self._answer(job)
+            if fits:
+                self._answer(job)
+            else:
+                self._tap.note("erred", id=job.ident, op=job.op)
+                job.caller.write(writing.answer(500, self._gauge(), b"not filed\n"))
         while self._waiting and self._busy < self.life.cores:
             self._begin(self._waiting.popleft())
 
--- a/lanelead/store/service.py
+++ b/lanelead/store/service.py
@@ -37,6 +37,7 @@
 from lanelead.store.ledger import Denied, Ledger
 
 FIELDS = [(b"content-type", b"application/json")]
+LINE = 500  # entries of one line
 STATUS = {"malformed": 400, "failed": 422}
 
 
@@ -136,7 +137,7 @@
         caller.write(STREAM)
         self._watchers[caller] = query.get("since", 0)
         caller.lost.append(lambda: self._leave(caller))
-        caller.write(chunk(b"\n"))
+        caller.write(chunk(encode(self.ledger.page(query.get("since", 0), 0)) + b"\n"))  # so that it knows
         self._catch_up(caller)
 
     def _leave(self, caller: Caller) -> None:
@@ -144,11 +145,11 @@
 
     def _catch_up(self, caller: Caller) -> None:
         while True:
-            entries = self.ledger.page(self._watchers[caller]).entries
-            if not entries:
+            page = self.ledger.page(self._watchers[caller], LINE)
+            if not page.entries:
                 return
-            caller.write(chunk(b"".join(encode(logged) + b"\n" for logged in entries)))
-            self._watchers[caller] = entries[-1].seq
+            caller.write(chunk(encode(page) + b"\n"))
+            self._watchers[caller] = page.entries[-1].seq
 
 
 def _numbers(query: str) -> dict[str, int]:
--- /dev/null
+++ b/tests/test_join.py
@@ -0,0 +1,191 @@
+"""What the record of steps means for a relay: on the module, on the driver, and over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from lanelead.interface import Fate, Lookup, Trip, Verdict, Vote
+from lanelead.model.steps import folded
+from lanelead.protocols.records import Malformed, NewsLine
+from lanelead.protocols.steps import AppendAsk, Entry, LeaseAsk, Logged, Page
+from lanelead.settings.records import Demands, Need, Steps
+from lanelead.standins.stepstore import FaultyStore
+from lanelead.steps.join import Readiness
+from lanelead.steps.runner import Goal
+from lanelead.store.ledger import Ledger
+from tests.test_driver import ANSWER, LANES, SECOND, Stage
+from tests.test_steps import plan, step, through
+from tests.town import Client, ScriptedUnit, live, says, state_of, town
+
+PLAN: Steps = plan(
+    step("a"), step("b", "a"), step("end", "b", kind="contract"),
+    builds=(Demands(1, [], ["end"], ""), Demands(2, [Need("a", 0), Need("b", 1)], [], "")),
+)  # fmt: skip
+TAKEN = Entry("plan", text=Goal(PLAN).body)
+
+
+def page(*entries: Entry, since: int = 0) -> Page:
+    rows = [Logged(since + n, 1, "r", 0.0, entry) for n, entry in enumerate(entries, 1)]
+    return Page(rows, since + len(rows))
+
+
+class OnTheModule(unittest.TestCase):
+    def readiness(self, *entries: Entry) -> Readiness:
+        found = Readiness(SECOND, 0)
+        found.hear(page(TAKEN, *entries).entries)
+        return found
+
+    def trip(self, sent: int = 0) -> Trip:
+        lookup = Lookup(LANES[0], None, None, sent, sent + 2 * SECOND)
+        return Trip(lookup, None, 0, sent, 2 * SECOND)  # type: ignore[arg-type]
+
+    def test_before_the_record_is_heard_only_the_earliest_listed_build_is_there(self) -> None:
+        readiness = Readiness(SECOND, 0)
+        readiness.listed([2, 1, 2])
+        self.assertEqual((readiness.open(1), readiness.open(2)), (True, False))
+        readiness.hear([])
+        self.assertTrue(readiness.open(2))
+
+    def test_a_build_waits_for_the_needs_of_its_stage_and_a_vote_for_the_next_ones(self) -> None:
+        readiness = self.readiness(*through("a"))
+        readiness.news(2, 0, True)
+        self.assertEqual((readiness.open(2), readiness.votes_on(2, 0)), (True, False))
+        readiness.news(2, 1, True)
+        self.assertFalse(readiness.open(2))
+        readiness.hear(page(*through("b"), since=3).entries)
+        self.assertEqual((readiness.open(2), readiness.votes_on(2, 0)), (True, True))
+
+    def test_a_closing_is_seen_when_nothing_is_out_that_it_forbids(self) -> None:
+        readiness = self.readiness(*through("a", "b"))
+        mine, other = self.trip(), self.trip()
+        readiness.sent(1, mine)
+        readiness.sent(2, other)
+        self.assertEqual(readiness.owes(0), 0)
+        readiness.hear(page(Entry("closing", "end"), since=5).entries)
+        self.assertEqual((readiness.open(1), readiness.owes(0)), (False, 0))
+        readiness.ended(mine, True)
+        self.assertEqual(readiness.owes(0), 6)
+        readiness.seen = 6
+        self.assertEqual(readiness.owes(0), 0)
+
+    def test_a_trip_with_no_known_end_may_still_run_until_its_limit_and_the_grace(self) -> None:
+        readiness = self.readiness(*through("a", "b"), Entry("closing", "end"))
+        lost = self.trip(100)
+        readiness.sent(1, lost)
+        readiness.ended(lost, False)
+        self.assertEqual(readiness.owes(100 + 3 * SECOND - 1), 0)
+        self.assertEqual(readiness.owes(100 + 3 * SECOND), 6)
+
+    def test_a_relay_that_has_just_started_does_not_vouch_for_its_earlier_life(self) -> None:
+        readiness = Readiness(SECOND, 5 * SECOND)
+        readiness.hear(page(TAKEN, *through("a", "b"), Entry("closing", "end")).entries)
+        self.assertEqual((readiness.owes(5 * SECOND - 1), readiness.owes(5 * SECOND)), (0, 6))
+
+    def test_a_record_that_follows_no_rules_is_refused_and_what_came_before_stays(self) -> None:
+        readiness = self.readiness(*through("a"))
+        with self.assertRaises(Malformed):
+            readiness.hear(page(Entry("done", "b"), since=3).entries)
+        self.assertTrue(readiness.open(2))
+        readiness.hear(page(TAKEN, *through("a")).entries)  # a stream that begins anew
+        self.assertEqual(readiness.record.seq, 3)
+
+
+class OnTheDriver(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stage = Stage()
+        self.driver = self.stage.driver
+        self.driver.readiness = Readiness(SECOND, 0)
+        self.driver.steps(page(TAKEN))
+        self.stage.listed("full", *(self.stage.row(n, build=1 + n % 2) for n in range(4)))
+        self.driver.news(NewsLine(2, 0, "trial", 1.0, 0.0), False, Fate.DONE)
+
+    def builds(self, many: int = 40) -> set[int]:
+        """The builds that lookups go to."""
+        before = len(self.stage.hands.sent)
+        for _ in range(many):
+            self.stage.hands.now += SECOND // 10
+            self.driver.tick()
+            self.stage.ask()
+            for _, trip in self.stage.hands.sent[before:]:
+                if trip.fate is None:
+                    self.driver.ended(trip, Fate.DONE, ANSWER)
+        return {self.driver.places[trip.unit].build for _, trip in self.stage.hands.sent[before:]}
+
+    def test_a_build_has_no_trip_until_its_step_is_done_and_then_has_some(self) -> None:
+        self.assertEqual(self.builds(), {1})
+        self.driver.steps(page(*through("a"), since=1))
+        self.stage.run(30 * SECOND)  # what the earlier build did lately is forgotten
+        self.assertIn(2, self.builds())
+
+    def test_a_trip_that_was_chosen_before_a_closing_is_not_written_after_it(self) -> None:
+        self.stage.ask()
+        trip = self.stage.hands.sent[-1][1]
+        self.assertIsNotNone(self.driver.still_meant(trip))
+        self.driver.steps(page(*through("a", "b"), Entry("closing", "end"), since=1))
+        self.assertIsNone(self.driver.still_meant(trip))
+
+    def test_a_vote_on_past_the_stage_waits_and_a_vote_back_does_not(self) -> None:
+        self.driver.steps(page(*through("a"), since=1))
+        self.driver.decisions.acts += [Vote(2, 0, Verdict.ON), Vote(2, 0, Verdict.BACK)]
+        self.driver._carry()
+        self.assertEqual([vote.verdict for vote in self.stage.hands.votes], [Verdict.BACK])
+        self.assertEqual(self.driver.counts.withheld, 1)
+        self.driver.steps(page(*through("b"), since=3))
+        self.driver.decisions.acts.append(Vote(2, 0, Verdict.ON))
+        self.driver._carry()
+        self.assertEqual(self.stage.hands.votes[-1].verdict, Verdict.ON)
+
+    def test_a_unit_that_drains_stays_draining_whatever_its_build_may(self) -> None:
+        self.stage.listed("changes", *(self.stage.row(n, build=2, condition="draining") for n in (1, 3)))
+        self.driver.steps(page(*through("a"), since=1))
+        self.stage.run(30 * SECOND)
+        self.assertEqual(self.builds(), {1})
+
+
+class OverSockets(unittest.TestCase):
+    @live
+    async def test_a_relay_withholds_lets_go_and_says_when_it_has_seen_a_closing(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            store = FaultyStore(Ledger(Path(folder, "store.db")))
+            port = await store.open(0)
+            token = store.ledger.lease(LeaseAsk("test", 60_000))
+
+            def write(*entries: Entry) -> int:
+                for entry in entries:
+                    store.written(store.ledger.append(AppendAsk(token, store.ledger.last(), entry)))
+                return store.ledger.last()
+
+            write(TAKEN)
+            old, new = ScriptedUnit("old", says(b"old")), ScriptedUnit("new", says(b"new"))
+            feed = f"steps: {{address: port: {port}, least_wait_ms: 20}}"
+            async with town(old, new, top=feed) as place:
+                place.list_(new, "ready", "south", 2)
+                place.desk.offer(2)
+                client = await Client.to(place)
+
+                async def bodies(many: int) -> set[bytes]:
+                    return {(await client.ask("GET", "/x"))[2] for _ in range(many)}
+
+                await asyncio.sleep(0.3)
+                self.assertEqual(await bodies(30), {b"old"})
+                last = write(*through("a", "b"), Entry("closing", "end"))
+                place.desk._change(2, 1, "released")
+                while b"new" not in (seen := await bodies(5)):
+                    await asyncio.sleep(0.05)
+                while b"old" in (seen := await bodies(5)):
+                    await asyncio.sleep(0.05)
+                self.assertEqual(seen, {b"new"})
+                while store.ledger.unseen(last):
+                    await asyncio.sleep(0.05)
+                store.close()  # it goes on with what it knew
+                await asyncio.sleep(0.2)
+                self.assertEqual(await bodies(10), {b"new"})
+                self.assertFalse(state_of(place)["feeds"]["steps"])
+        self.assertEqual(folded((TAKEN,)).builds(), [1, 2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -11,8 +11,11 @@
 
 from lanelead.days.commands import load
 from lanelead.days.judge import Finding, Verdict, judge
-from lanelead.settings.records import Overflow
+from lanelead.protocols.steps import Entry
+from lanelead.settings.records import Overflow, StepsOfDay
 from lanelead.standins.capture import BadCapture
+from lanelead.steps.runner import Goal
+from tests.test_steps import ONE_AFTER_ANOTHER
 
 
 class Papers:
@@ -343,6 +346,51 @@
             self.check(papers, "returns", word)
 
 
+class OfSteps(Case):
+    """A plan of two steps, of which build 2 needs the first, run through once."""
+
+    def town(self, *rest: tuple[float, Entry]) -> Papers:
+        papers = Papers()
+        papers.day = msgspec.structs.replace(papers.day, steps=StepsOfDay(0, []))
+        papers.up("d", 0.0, build=2)
+        rows = [
+            (1.0, Entry("plan", text=Goal(ONE_AFTER_ANOTHER).body)), (2.0, Entry("intent", "a")),
+            (3.0, Entry("done", "a")), *rest,
+        ]  # fmt: skip
+        for seq, (t, entry) in enumerate(rows, 1):
+            facts = {"seq": seq, "token": 1, "runner": "r", "at_ms": 0.0}
+            papers.note("store", t, "entry", entry=msgspec.to_builtins(entry), **facts)
+        return papers
+
+    def effect(self, papers: Papers, t: float, part: int = 0, parts: int = 1, intent: int = 2) -> None:
+        said = {"parts": parts, "finished": True}
+        papers.note("store", t, "effect_asked", status=200, intent=intent, part=part, token=1, said=said)
+
+    def test_a_run_by_the_rules_is_kept(self) -> None:
+        papers = self.town()
+        self.effect(papers, 2.5)
+        papers.note("store", 3.5, "filed", build=2, op="x", ready=True, why="", seq=3)
+        papers.served(3.6, unit="d")
+        self.check(papers, "steps", "kept")
+
+    def test_each_breach_is_seen(self) -> None:
+        def filed(papers: Papers) -> None:
+            papers.note("store", 1.5, "filed", build=2, op="x", ready=False, why="no such column", seq=1)
+
+        for rest, act in (
+            ((), filed),
+            ((), lambda papers: papers.served(1.5, unit="d", build=2)),
+            ((), lambda papers: self.effect(papers, 3.5)),
+            ((), lambda papers: self.effect(papers, 1.5)),
+            ((), lambda papers: self.effect(papers, 2.5, parts=2)),
+            (((4.0, Entry("done", "a")),), lambda papers: None),
+            (((4.0, Entry("intent", "b")),), lambda papers: None),
+        ):
+            papers = self.town(*rest)
+            act(papers)
+            self.check(papers, "steps", "broken")
+
+
 class Captures(unittest.TestCase):
     def test_nothing_at_stake_is_unproven(self) -> None:
         verdict = Papers().judged()
--- a/tests/town.py
+++ b/tests/town.py
@@ -43,6 +43,7 @@
 	}
 	roster: address: port: %d
 	desk: address: port: %d
+	TOP
 }
 """.replace("LIMITS", "expected_time_ms: 800, outer_limit_ms: 1500")
 
@@ -118,8 +119,8 @@
 
 
 class Town:
-    def __init__(self, folder: Path, units: list[ScriptedUnit], more: str, seed: int) -> None:
-        self.units, self._folder, self._more, self._seed = units, folder, more, seed
+    def __init__(self, folder: Path, units: list[ScriptedUnit], more: str, seed: int, top: str) -> None:
+        self.units, self._folder, self._more, self._seed, self._top = units, folder, more, seed, top
         self.clients: list[Client] = []
         self.log = structlog.testing.CapturingLogger()
 
@@ -130,7 +131,7 @@
             await unit.open()
             self.list_(unit, "ready", "north" if place % 2 == 0 else "south")
         text = SETTINGS.replace(", MORE", ", " + self._more if self._more else "")
-        text = text.replace("number: 0", f"seed: {self._seed}, number: 0")
+        text = text.replace("TOP", self._top).replace("number: 0", f"seed: {self._seed}, number: 0")
         record = read_text(text % (1, 1), "town")
         assert isinstance(record, Relay)
         service = record.service
@@ -169,9 +170,9 @@
 
 
 @contextlib.asynccontextmanager
-async def town(*units: ScriptedUnit, more: str = "", seed: int = 0) -> AsyncIterator[Town]:
+async def town(*units: ScriptedUnit, more: str = "", seed: int = 0, top: str = "") -> AsyncIterator[Town]:
     with tempfile.TemporaryDirectory() as folder:
-        place = Town(Path(folder), list(units), more, seed)
+        place = Town(Path(folder), list(units), more, seed, top)
         await place.open()
         try:
             yield place
