--- /dev/null
+++ b/benchmarks/model_growth.py
@@ -0,0 +1,105 @@
+"""What the model costs: events, time a simulated lookup and memory as relays grow; and the event cores.
+
+Run by hand: .venv/bin/python -m benchmarks.model_growth
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import resource
+import time
+from random import Random
+from typing import Any
+
+import click
+import msgspec
+
+from lanelead.days.commands import load
+from lanelead.model.core import Clock
+from lanelead.model.town import Town
+from lanelead.settings.records import Day
+
+
+def day(relays: int, units: int, rate: float, seconds: float) -> Day:
+    """The bad day's service, one good build, nothing else."""
+    base = load("bad-day")
+    return msgspec.structs.replace(
+        base, relays=relays, seconds=seconds, events=[],
+        units=msgspec.structs.replace(base.units, count=units),
+        clients=msgspec.structs.replace(base.clients, rate=rate),
+        desk=msgspec.structs.replace(base.desk, offers=base.desk.offers[:1]),
+    )  # fmt: skip
+
+
+def one(job: tuple[int, int, float, float]) -> dict[str, Any]:
+    town = Town(day(*job), 1, silent=True)
+    began = time.perf_counter()
+    town.run()
+    took = time.perf_counter() - began
+    memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    return {"took": took, "events": town.clock.done, "asked": town.counts.asked, "mb": memory,
+            "service": town.value_share()}  # fmt: skip
+
+
+def heap(timers: int) -> float:
+    clock, chance, left = Clock(), Random(1), timers
+
+    def tick() -> None:
+        nonlocal left
+        left -= 1
+        if left > 0:
+            clock.later(chance.random(), tick)
+
+    for _ in range(1000):
+        clock.later(chance.random(), tick)
+    began = time.perf_counter()
+    clock.run(float(timers))
+    return clock.done / (time.perf_counter() - began)
+
+
+def with_simpy(timers: int) -> float:
+    import simpy
+
+    world, chance, left, done = simpy.Environment(), Random(1), timers, 0
+
+    def story() -> Any:
+        nonlocal left, done
+        while left > 0:
+            yield world.timeout(chance.random())
+            left -= 1
+            done += 1
+
+    for _ in range(1000):
+        world.process(story())
+    began = time.perf_counter()
+    world.run()
+    return done / (time.perf_counter() - began)
+
+
+@click.command()
+@click.option("--seconds", default=20.0)
+def main(seconds: float) -> None:
+    rates = [(heap(400_000), with_simpy(400_000)) for _ in range(3)]
+    ratios = sorted(ours / theirs for ours, theirs in rates)
+    click.echo(
+        f"events a second of the plain heap over simpy's: {ratios[1]:.2f} "
+        f"({ratios[0]:.2f} to {ratios[2]:.2f})"
+    )
+    click.echo(
+        "relays x units, lookups a second | events a lookup | cost a lookup, over the first's | MB | service"
+    )
+    base = None
+    with multiprocessing.get_context("spawn").Pool(1, maxtasksperchild=1) as pool:
+        for job in ((10, 20, 200.0, seconds), (100, 40, 500.0, seconds), (400, 80, 1000.0, seconds),
+                    (1000, 250, 2500.0, seconds / 4), (2000, 500, 5000.0, seconds / 4)):  # fmt: skip
+            row = pool.apply(one, (job,))
+            cost = row["took"] / row["asked"]
+            base = base or cost
+            click.echo(
+                f"{job[0]} x {job[1]}, {job[2]:g} | {row['events'] / row['asked']:.0f} | {cost / base:.2f} | "
+                f"{row['mb']:.0f} | {row['service']:.3f} ({row['took']:.0f} s here for {job[3]:g} s)"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -9,7 +9,7 @@
 from lanelead import VERSION
 from lanelead.settings.cue import Unfit
 from lanelead.settings.read import read
-from lanelead.settings.records import Day, Relay
+from lanelead.settings.records import Day, Experiment, Relay, Steps
 
 
 @click.group()
@@ -31,13 +31,8 @@
             for fault in unfit.faults:
                 click.echo(str(fault), err=True)
         else:
-            kind = (
-                "relay"
-                if isinstance(record, Relay)
-                else "day"
-                if isinstance(record, Day)
-                else "plan of steps"
-            )
+            kinds = {Relay: "relay", Day: "day", Steps: "plan of steps", Experiment: "plan of an experiment"}
+            kind = kinds[type(record)]
             click.echo(f"{file}: a {kind}, good")
     sys.exit(2 if bad else 0)
 
@@ -62,9 +57,10 @@
 
 def _rest() -> None:
     from lanelead.days.commands import day
+    from lanelead.experiments.commands import experiment, model
     from lanelead.steps.commands import steps, store
 
-    for command in (day, steps, store):
+    for command in (day, steps, store, model, experiment):
         main.add_command(command)
 
 
--- a/lanelead/days/fleet.py
+++ b/lanelead/days/fleet.py
@@ -21,7 +21,7 @@
 from lanelead.settings import records
 from lanelead.standins.capture import Tap, clock
 from lanelead.standins.roster import Roster
-from lanelead.standins.unit import Build, Life
+from lanelead.standins.engine import Build, Life
 
 ENV = {**os.environ, "PYTHONHASHSEED": "0"}
 
--- a/lanelead/days/play.py
+++ b/lanelead/days/play.py
@@ -22,7 +22,7 @@
 from lanelead.standins.clients import Crowd
 from lanelead.standins.desk import Desk
 from lanelead.standins.roster import Roster
-from lanelead.standins.unit import Build
+from lanelead.standins.engine import Build
 
 AT_CLIENTS = (
     "burst",
--- /dev/null
+++ b/lanelead/experiments/report.py
@@ -0,0 +1,105 @@
+"""An experiment's results as one HTML file that opens without a network: tables with intervals, and plots."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+from jinja2 import Environment
+
+from lanelead.experiments.plan import MEASURES
+from lanelead.experiments.run import Rows, interval, paired
+from lanelead.settings.records import Experiment
+
+PAGE = """<!doctype html><html lang="en"><meta charset="utf-8"><title>{{ plan.name }}</title>
+<style>body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em}
+table{border-collapse:collapse}
+td,th{border:1px solid #999;padding:.2em .6em;text-align:right}td:first-child,th:first-child,td:nth-child(2)
+{text-align:left}svg{max-width:100%;height:auto}</style>
+<h1>{{ plan.name }}</h1><p>{{ plan.says }}</p>
+<p>Day {{ plan.day }} in virtual time, {{ runs }} runs. Figures are means with 95% intervals (Student's t);
+differences to {{ plan.baseline }} are by pairs of the same seed, and one whose interval holds zero
+shows nothing.</p>
+{% for measure, rows in tables %}<h2>{{ measure }}</h2><table><tr><th>levels<th>policy<th>runs<th>mean
+<th>&plusmn;<th>more than {{ plan.baseline }}<th>&plusmn;</tr>
+{% for row in rows %}<tr><td>{{ row.cell }}<td>{{ row.policy }}<td>{{ row.runs }}
+<td>{{ row.mean }}<td>{{ row.half }}
+<td>{{ row.more }}<td>{{ row.more_half }}</tr>{% endfor %}</table>{{ plots[measure] }}{% endfor %}</html>
+"""
+
+
+def figure(value: float) -> str:
+    return "" if value != value or value in (float("inf"), float("-inf")) else f"{value:.4g}"
+
+
+def table(plan: Experiment, rows: Rows, measure: str) -> list[dict[str, Any]]:
+    found = []
+    for (cell, policy), seeds in rows.items():
+        values = [some[measure] for some in seeds.values() if measure in some]
+        if not values:
+            continue
+        mean, half = interval(values)
+        row = {
+            "cell": cell,
+            "policy": policy,
+            "runs": len(values),
+            "mean": figure(mean),
+            "half": figure(half),
+        }
+        row |= {"more": "", "more_half": "", "value": mean, "width": half if half < 1e300 else 0.0}
+        more = None if policy == plan.baseline else paired(rows, cell, policy, plan.baseline, measure)
+        if more is not None:
+            row |= {"more": figure(more[0]), "more_half": figure(more[1])}
+        found.append(row)
+    return found
+
+
+def plot(rows: list[dict[str, Any]], measure: str) -> str:
+    """An SVG of means and intervals."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    cells = list(dict.fromkeys(row["cell"] for row in rows))
+    policies = list(dict.fromkeys(row["policy"] for row in rows))
+    picture, axis = pyplot.subplots(figsize=(9, 3))
+    for number, policy in enumerate(policies):
+        mine = {row["cell"]: row for row in rows if row["policy"] == policy}
+        places = [place + 0.06 * number for place, cell in enumerate(cells) if cell in mine]
+        some = [mine[cell] for cell in cells if cell in mine]
+        axis.errorbar(
+            places, [row["value"] for row in some], [row["width"] for row in some], fmt="o-", capsize=3,
+            label=policy, linewidth=0.8, markersize=4,
+        )  # fmt: skip
+    axis.set_xticks(range(len(cells)), cells, fontsize=8)
+    axis.set_ylabel(measure)
+    axis.legend(fontsize=8)
+    picture.tight_layout()
+    out = io.StringIO()
+    picture.savefig(out, format="svg", metadata={"Date": None})
+    pyplot.close(picture)
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+def page(plan: Experiment, rows: Rows) -> str:
+    names = [*MEASURES, "trips"]
+    tables = [(measure, some) for measure in names if (some := table(plan, rows, measure))]
+    plots = {measure: plot(some, measure) for measure, some in tables}
+    runs = sum(len(seeds) for seeds in rows.values())
+    template = Environment(autoescape=True).from_string(
+        PAGE.replace("{{ plots[measure] }}", "{{ plots[measure]|safe }}")
+    )
+    return template.render(plan=plan, tables=tables, plots=plots, runs=runs)
+
+
+def lines(plan: Experiment, rows: Rows) -> list[str]:
+    """The same for a terminal: the measure that the plan stops by."""
+    found = [f"{plan.stop.measure}: levels | policy | runs | mean, half-width | more than {plan.baseline}"]
+    for row in table(plan, rows, plan.stop.measure):
+        more = f"{row['more']} +- {row['more_half']}" if row["more"] else "-"
+        found.append(
+            f"{row['cell']} | {row['policy']} | {row['runs']} | {row['mean']} +- {row['half']} | {more}"
+        )
+    return found
--- /dev/null
+++ b/lanelead/experiments/run.py
@@ -0,0 +1,159 @@
+"""Runs an experiment over all cores into an SQLite file; what is there already is not run again.
+
+Each cell and policy gets the same seeds, block after block, until the interval of the measure that the plan
+stops by is narrow enough in all of them, or the seeds are used up.
+"""
+
+from __future__ import annotations
+
+import math
+import multiprocessing
+import sqlite3
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from scipy import stats
+
+from lanelead.days.judge import judge
+from lanelead.experiments.plan import Cell
+from lanelead.model.baselines import POLICIES
+from lanelead.model.town import Town
+from lanelead.settings.records import Day, Experiment
+
+TABLES = """
+CREATE TABLE IF NOT EXISTS plan (one INTEGER PRIMARY KEY CHECK (one = 1), body TEXT NOT NULL);
+CREATE TABLE IF NOT EXISTS runs (cell TEXT, policy TEXT, seed INTEGER, measure TEXT, value REAL,
+    PRIMARY KEY (cell, policy, seed, measure)) WITHOUT ROWID;
+"""
+Rows = dict[tuple[str, str], dict[int, dict[str, float]]]  # by cell and policy, then seed, then measure
+
+
+class OtherPlan(Exception):
+    """The file holds another plan's runs."""
+
+
+def measures(day: Day, policy: str, seed: int, judged: bool) -> dict[str, float]:
+    """One run's figures. Without the judge, only those that the clients count."""
+    began = time.perf_counter()
+    town = Town(day, seed, POLICIES[policy], silent=not judged).run()
+    counts = town.counts
+    times = sorted(counts.times)
+    asked = max(1, counts.asked)
+    found = {
+        "done": counts.done / asked,
+        "shed": counts.shed / asked,
+        "broken_off": counts.broken_off / asked,
+        "events": float(town.clock.done),
+        "cpu_s": time.perf_counter() - began,
+        "lookups": float(counts.asked),
+    }
+    if times:
+        found["p50_ms"] = 1000 * times[len(times) // 2]
+        found["p99_ms"] = 1000 * times[int(len(times) * 0.99)]
+    found["service"] = town.value_share()
+    if judged:
+        with tempfile.TemporaryDirectory() as folder:
+            town.book.write(Path(folder), day)
+            verdict = judge(Path(folder))
+        found["service"] = verdict.service
+        found["rules_broken"] = float(sum(finding.broken for finding in verdict.rules.values()))
+        if verdict.builds:
+            first = verdict.builds[0]
+            ended = {True: first.sent_back is not None, False: first.released is not None}[
+                first.bad is not None
+            ]
+            found["wrong_end"] = float(not ended or (first.bad is None and first.sent_back is not None))
+            if first.released is not None:
+                found["released_s"] = first.released
+            if first.sent_back is not None:
+                found["back_s"] = first.sent_back
+    return found
+
+
+def interval(values: list[float], level: float = 0.95) -> tuple[float, float]:
+    """The mean, and the half-width of Student's interval around it; endless for one value."""
+    mean = sum(values) / len(values)
+    if len(values) < 2:
+        return mean, math.inf
+    spread = math.sqrt(sum((value - mean) ** 2 for value in values) / (len(values) - 1))
+    return mean, float(stats.t.ppf((1 + level) / 2, len(values) - 1)) * spread / math.sqrt(len(values))
+
+
+def paired(
+    rows: Rows, cell: str, policy: str, baseline: str, measure: str
+) -> tuple[float, float, int] | None:
+    """How much more a policy has than the baseline, seed by seed: mean, half-width, pairs."""
+    ours, theirs = rows.get((cell, policy), {}), rows.get((cell, baseline), {})
+    pairs = [
+        ours[seed][measure] - theirs[seed][measure]
+        for seed in sorted(ours)
+        if seed in theirs and measure in ours[seed] and measure in theirs[seed]
+    ]
+    return (*interval(pairs), len(pairs)) if pairs else None
+
+
+def read(file: str | Path) -> tuple[Experiment, Rows]:
+    db = sqlite3.connect(file)
+    try:
+        body = db.execute("SELECT body FROM plan").fetchone()
+        plan = msgspec.json.decode(body[0], type=Experiment)
+        rows: Rows = {}
+        for cell, policy, seed, measure, value in db.execute(
+            "SELECT * FROM runs ORDER BY cell, policy, seed"
+        ):
+            rows.setdefault((cell, policy), {}).setdefault(seed, {})[measure] = value
+        return plan, rows
+    finally:
+        db.close()
+
+
+def _one(job: tuple[str, Day, str, int, bool]) -> tuple[str, str, int, dict[str, float]]:
+    cell, day, policy, seed, judged = job
+    return cell, policy, seed, measures(day, policy, seed, judged)
+
+
+def run(plan: Experiment, cells: list[Cell], file: Path, procs: int, say: Callable[[int, int], None]) -> None:
+    """Raises OtherPlan. May be killed at any moment and started again: whole runs are kept."""
+    db = sqlite3.connect(file)
+    db.executescript(TABLES)
+    body = msgspec.json.encode(plan).decode()
+    old = db.execute("SELECT body FROM plan").fetchone()
+    if old is not None and old[0] != body:
+        raise OtherPlan(f"{file} holds runs of another plan, or of this one before it was changed")
+    db.execute("INSERT OR IGNORE INTO plan VALUES (1, ?)", (body,))
+    db.commit()
+    have = {tuple(row) for row in db.execute("SELECT DISTINCT cell, policy, seed FROM runs")}
+    open_ = [(cell, policy) for cell in cells for policy in plan.policies]
+    upto, done = 0, 0
+    with multiprocessing.get_context("spawn").Pool(procs or None) as pool:
+        while open_ and upto < plan.seeds.most:
+            upto = min(plan.seeds.most, upto + plan.seeds.least)
+            jobs = [
+                (cell.name, cell.day, policy, seed, plan.judged)
+                for cell, policy in open_
+                for seed in range(1, upto + 1)
+                if (cell.name, policy, seed) not in have
+            ]
+            for name, policy, seed, found in pool.imap_unordered(_one, jobs):
+                rows = [(name, policy, seed, measure, value) for measure, value in found.items()]
+                db.executemany("INSERT OR REPLACE INTO runs VALUES (?, ?, ?, ?, ?)", rows)
+                db.commit()
+                have.add((name, policy, seed))
+                done += 1
+                say(done, len(jobs))
+            # A cell is done for all its policies or for none: the comparison is by pairs.
+            wide = {cell.name for cell, policy in open_ if _wide(db, cell.name, policy, plan)}
+            open_ = [(cell, policy) for cell, policy in open_ if cell.name in wide]
+    db.close()
+
+
+def _wide(db: sqlite3.Connection, cell: str, policy: str, plan: Experiment) -> bool:
+    found: list[Any] = db.execute(
+        "SELECT value FROM runs WHERE cell = ? AND policy = ? AND measure = ?",
+        (cell, policy, plan.stop.measure),
+    ).fetchall()
+    return len(found) < 2 or interval([row[0] for row in found])[1] > plan.stop.half_width
--- a/lanelead/settings/definitions.cue
+++ b/lanelead/settings/definitions.cue
@@ -296,7 +296,28 @@
 	builds: [...#Demands] | *[]
 }
 
-#File: {relay: #Relay} | {day: #Day} | {steps: #Steps}
+// An experiment: a day in the model under factors and policies, over seeds. See docs/model.md.
+
+#Experiment: {
+	name: #Name
+	says: string | *""
+	day:  string
+	set:  {...} | *{}
+	factors: [...{name: #Name, levels: [#Level, ...#Level]}] | *[]
+	policies: [string, ...string] | *["lanelead"]
+	baseline: string | *"lanelead"
+	seeds: {least: (int & >=2 & <=10000) | *4, most: (int & >=2 & <=10000) | *16}
+	stop: {measure: string | *"service", half_width: (number & >0) | *0.02}
+	judged: bool | *true
+}
+
+#Level: {
+	name: string
+	set: {...} | *{}
+}
+
+#File: {relay: #Relay} | {day: #Day} | {steps: #Steps} | {experiment: #Experiment}
+#ExperimentFile: {experiment: #Experiment}
 #StepsFile: {steps: #Steps}
 #RelayFile: {relay: #Relay}
 #DayFile: {day: #Day}
--- a/lanelead/settings/read.py
+++ b/lanelead/settings/read.py
@@ -13,13 +13,14 @@
 
 from lanelead.settings import cue
 from lanelead.settings.cue import Fault, Spot, Unfit
-from lanelead.settings.records import Day, Relay, Service, Steps
+from lanelead.settings.records import Day, Experiment, Relay, Service, Steps
 
-Record = Relay | Day | Steps
+Record = Relay | Day | Steps | Experiment
 KINDS: dict[str, tuple[str, type[Record]]] = {
     "relay": ("#RelayFile", Relay),
     "day": ("#DayFile", Day),
     "steps": ("#StepsFile", Steps),
+    "experiment": ("#ExperimentFile", Experiment),
 }
 
 
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from lanelead import interface
@@ -386,3 +388,39 @@
     name: str
     steps: list[Step]
     builds: list[Demands]
+
+
+# Experiments
+
+
+class Level(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    set: dict[str, Any]  # what of the day it changes
+
+
+class Factor(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    levels: list[Level]
+
+
+class Seeds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    least: int
+    most: int
+
+
+class StopAt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    measure: str
+    half_width: float
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    says: str
+    day: str
+    set: dict[str, Any]
+    factors: list[Factor]
+    policies: list[str]
+    baseline: str
+    seeds: Seeds
+    stop: StopAt
+    judged: bool
--- a/lanelead/standins/clients.py
+++ b/lanelead/standins/clients.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import json
-import math
 import socket
 import struct
 import sys
@@ -24,8 +23,9 @@
 
 from lanelead.http import writing
 from lanelead.http.answers import AnswerReader, Progress
-from lanelead.settings.records import Clients, Service, Work
+from lanelead.settings.records import Clients, Service
 from lanelead.standins.capture import Tap, clock
+from lanelead.standins.demand import Demand, Op
 
 
 class Crowd(msgspec.Struct):
@@ -40,20 +40,6 @@
     relays: list[tuple[str, int]]
 
 
-class Op:
-    """What a client wants done, over all its tries."""
-
-    __slots__ = ("came_back", "due", "ident", "key", "lane", "member", "relay", "tries", "work")
-
-    def __init__(
-        self, ident: str, lane: str, member: str | None, key: str | None, work: float, relay: int
-    ) -> None:
-        self.ident, self.lane, self.member, self.key = ident, lane, member, key
-        self.work, self.relay, self.tries = work, relay, 0
-        self.came_back = False
-        self.due = 0.0
-
-
 class Wire(asyncio.Protocol):
     """One connection to a relay; one lookup at a time."""
 
@@ -128,7 +114,7 @@
                 self._drop()
             else:
                 self._crowd.free(self)
-            self._crowd.answered(op, outcome, answer.status, come_back)
+            self._crowd.answered(op, outcome, come_back)
 
     def _over(self, what: str, **facts: Any) -> None:
         if self._timer is not None:
@@ -156,7 +142,6 @@
         self.transport.abort()
         self.transport = None
         self._crowd.closed(self)
-        self._crowd.left(op)
 
     def _silent(self) -> None:
         op = self.op
@@ -183,80 +168,34 @@
 class Callers:
     def __init__(self, crowd: Crowd) -> None:
         self.crowd, self.loop = crowd, asyncio.get_running_loop()
-        self._chance = Random(crowd.seed)
+        self.demand = Demand(crowd.service, crowd.clients, len(crowd.relays), Random(crowd.seed))
         self.tap = Tap(Path(crowd.folder), "clients")
         self._idle: list[list[Wire]] = [[] for _ in crowd.relays]
         self._open = [0] * len(crowd.relays)
         self._queue: list[deque[tuple[Op, float]]] = [deque() for _ in crowd.relays]
-        self._lanes = {lane.name: lane for lane in crowd.service.lanes}
-        self._rate, self._rates = 1.0, dict[str, float]()
-        self._hot_key = self._hot_caller = self._heavy = self._haste = 0.0
-        self._bad = self._give_up = self._give_up_after = 0.0
-        self._more_retries = 0
-        self._slow_lane: dict[str, float] = {}
-        self._number = 0
-        self._open_ops = 0
         self._reads: set[asyncio.Task[None]] = set()
 
     # Arrivals
 
     async def run(self) -> None:
-        crowd, chance = self.crowd, self._chance
+        crowd = self.crowd
         self.tap.note("begin", rate=crowd.clients.rate)
         end, at = clock() + crowd.seconds, clock()
         while at < end:
-            rows = crowd.service.members
-            members = [(row.name, row.share * self._rates.get(row.name, 1.0)) for row in rows]
-            usual = sum(row.share for row in rows)
-            more = sum(share for _, share in members) / usual if usual else 1.0
-            at += chance.expovariate(crowd.clients.rate * self._rate * more)
+            at += self.demand.gap()
             if (wait := at - clock()) > 0:
                 await asyncio.sleep(wait)
-            self._arrive(members)
+            self._try(self.demand.draw(clock()))
         await asyncio.sleep(
             max(lane.outer_limit_ms for lane in crowd.service.lanes) / 1000 + 2 * crowd.slack + 0.6
         )
         self.tap.note("end")
 
-    def _arrive(self, members: list[tuple[str, float]]) -> None:
-        crowd, chance = self.crowd, self._chance
-        rows = crowd.clients.work
-        work = chance.choices(rows, [row.share for row in rows])[0]
-        names, shares = [name for name, _ in members], [share for _, share in members]
-        member = chance.choices(names, shares)[0] if members else None
-        relay = chance.randrange(len(crowd.relays))
-        if chance.random() < self._hot_caller:
-            relay = 0
-        key = None
-        if crowd.clients.keys or self._hot_key:
-            hot = chance.random() < self._hot_key
-            key = "k0" if hot else f"k{int(max(1, crowd.clients.keys) * chance.random() ** 2)}"
-        self._number += 1
-        lane = self._lanes[work.lane]
-        op = Op(f"op-{self._number}", work.lane, member, key, self._draw(work), relay)
-        op.due = clock() + lane.outer_limit_ms / 1000
-        self._open_ops += 1
-        self._try(op)
-
-    def _draw(self, work: Work) -> float:
-        mean, cv = work.ms / 1000 * self._slow_lane.get(work.lane, 1.0), work.cv
-        if self._heavy and self._chance.random() < 0.02:
-            mean *= self._heavy
-        if cv == 0:
-            return mean
-        spread = math.sqrt(math.log(1 + cv * cv))
-        return self._chance.lognormvariate(math.log(mean) - spread * spread / 2, spread)
-
     # Tries
 
     def _try(self, op: Op) -> None:
-        lane = self._lanes[op.lane]
-        share = self._chance.uniform(self.crowd.clients.try_share, 1.0)
-        left = min(lane.outer_limit_ms / 1000 * share, op.due - clock())
-        if self._haste and self._chance.random() < self._haste:
-            left = min(left, lane.expected_time_ms / 1000 / 2)
+        left = self.demand.patience(op, clock())
         if left <= 0.05:
-            self._finish(op)
             return
         idle = self._idle[op.relay]
         while idle:
@@ -292,12 +231,11 @@
     def _ask(self, wire: Wire, op: Op, left: float) -> None:
         if left <= 0.02:
             self.free(wire)
-            self._finish(op)
             return
-        lane, headers = self._lanes[op.lane], self.crowd.service.headers
+        lane, headers = self.demand.lanes[op.lane], self.crowd.service.headers
         op.tries += 1
         ident = f"{op.ident}.{op.tries}"
-        method = lane.methods[0] if self._chance.random() < 0.95 else lane.methods[-1]
+        method = self.demand.method(op)
         fields = [
             (b"host", b"relay"),
             (headers.lookup.encode(), ident.encode()),
@@ -311,13 +249,13 @@
             fields.append((headers.key.encode(), op.key.encode()))
         if lane.repeat == "receipted":
             fields.append((b"idempotency-key", op.ident.encode()))
-        if self._bad and self._chance.random() < self._bad:
+        if self.demand.bad():
             fields.append((b"day-bad", b"1"))
         body = b"x" * self.crowd.clients.body_bytes if method in ("POST", "PUT", "PATCH") else b""
         text = writing.request(method, lane.prefix.encode() + b"/" + op.ident.encode(), fields, body)
         wire.ask(op, ident, left, text, method == "HEAD")
-        if self._give_up and self._chance.random() < self._give_up:
-            self.loop.call_later(left * self._give_up_after, wire.leave, ident)
+        if (after := self.demand.leaves(left)) is not None:
+            self.loop.call_later(after, wire.leave, ident)
 
     def free(self, wire: Wire) -> None:
         queue = self._queue[wire.relay]
@@ -326,7 +264,6 @@
             if until - clock() > 0.05:
                 self._ask(wire, op, until - clock())
                 return
-            self._finish(op)
         self._idle[wire.relay].append(wire)
 
     def closed(self, wire: Wire) -> None:
@@ -338,42 +275,18 @@
 
     # What comes of them
 
-    def _finish(self, op: Op) -> None:
-        self._open_ops -= 1
-
-    def answered(self, op: Op, outcome: str, status: int, come_back: float) -> None:
-        lane = self._lanes[op.lane]
-        if outcome == "shed":
-            self._again(op, come_back)
-        elif outcome == "broken-off" and (
-            lane.repeat == "pure" or (lane.repeat == "receipted" and lane.scope == "all")
-        ):
-            self._again(op, 0.0)
-        else:
-            self._finish(op)
-
-    def left(self, op: Op) -> None:
-        self._finish(op)
+    def answered(self, op: Op, outcome: str, come_back: float) -> None:
+        self._again(op, self.demand.again(op, outcome, come_back, clock()))
 
     def lost(self, op: Op, asked: bool) -> None:
-        if not asked or self._lanes[op.lane].repeat == "pure":
-            op.relay = self._chance.randrange(len(self.crowd.relays))
-            self._again(op, 0.0)
-        else:
-            self._finish(op)
-
-    def _again(self, op: Op, come_back: float) -> None:
-        clients = self.crowd.clients
-        if op.tries > clients.retries + self._more_retries or clock() > op.due:
-            self._finish(op)
-            return
-        wait = 0.01 if self._more_retries else clients.backoff_ms / 1000  # those that heed nothing
-        if come_back and not self._more_retries and self._chance.random() < clients.honour:
-            wait = max(wait, come_back)
-        self.loop.call_later(wait, self._try, op)
+        self._again(op, self.demand.lost(op, asked, clock()))
+
+    def _again(self, op: Op, wait: float | None) -> None:
+        if wait is not None:
+            self.loop.call_later(wait, self._try, op)
 
     def wrong(self, op: Op, unit: str, relay: int) -> None:
-        if self._chance.random() < self.crowd.service.poll.complaint_share:
+        if self.demand.complains():
             self.loop.call_later(1.0, lambda: self._complain(op, unit, relay))
 
     def _complain(self, op: Op, unit: str, relay: int) -> None:
@@ -401,28 +314,7 @@
 
     def obey(self, order: dict[str, Any]) -> None:
         self.tap.note("order", **{key: value for key, value in order.items() if key != "ev"})
-        on, size = order.get("on", True), order.get("size", 1.0)
-        match order["kind"]:
-            case "burst":
-                self._rate = size if on else 1.0
-            case "member_burst":
-                self._rates = {order["member"]: size} if on else {}
-            case "hot_key":
-                self._hot_key = size if on else 0.0
-            case "hot_caller":
-                self._hot_caller = size if on else 0.0
-            case "heavy_tail":
-                self._heavy = size if on else 0.0
-            case "haste":
-                self._haste = size if on else 0.0
-            case "give_up":
-                self._give_up, self._give_up_after = (size, order["extra"]) if on else (0.0, 0.0)
-            case "retry_abuse":
-                self._more_retries = int(size) if on else 0
-            case "bad_requests":
-                self._bad = size if on else 0.0
-            case "slow_lane":
-                self._slow_lane = {order["lane"]: size} if on else {}
+        self.demand.obey(order)
 
 
 async def _run(crowd: Crowd) -> None:
--- a/lanelead/standins/interrupts.py
+++ b/lanelead/standins/interrupts.py
@@ -10,12 +10,14 @@
 import asyncio
 import contextlib
 import json
+import os
 import shutil
 import signal
 import sqlite3
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -23,10 +25,14 @@
 
 import msgspec
 
-from lanelead.protocols.steps import Entry, Logged
-from lanelead.settings.records import Address, Steps
+from lanelead.http.calls import Failed, call, stream
+from lanelead.interface import Lane, Lookup, Repeat, Scope, Ticks, Trip
+from lanelead.protocols.records import decode
+from lanelead.protocols.steps import Entry, Logged, Page, SeenAsk, Told
+from lanelead.settings.records import Address, Demands, Steps
 from lanelead.standins.stepstore import FaultyStore
 from lanelead.steps.driver import Client, Conductor
+from lanelead.steps.join import Readiness
 from lanelead.steps.record import Record, Stand
 from lanelead.steps.runner import Goal, Stop
 from lanelead.store.ledger import Ledger
@@ -293,3 +299,100 @@
     finally:
         db.close()
     return wrong
+
+
+class Filer:
+    """A relay and its units in small, in a thread: it follows the record, files by each build that may have
+    traffic, by the relay's own join, and vouches for closings. What does not fit is kept in `misfits`."""
+
+    def __init__(self, port: int, plan: Steps, heed: bool = True) -> None:
+        self._port, self._plan, self._heed = port, plan, heed
+        self.misfits, self.filed = list[str](), dict[int, int]()
+        self._over = False
+        self._began = time.monotonic()
+        self._thread = threading.Thread(target=lambda: asyncio.run(self._run()), daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._over = True
+        self._thread.join(10)
+
+    def _clock(self) -> Ticks:
+        return int((time.monotonic() - self._began) * 10_000)
+
+    async def _run(self) -> None:
+        self._address, self._loop = Address("127.0.0.1", self._port), asyncio.get_running_loop()
+        self._readiness = Readiness(1000, 0)
+        self._readiness.listed([min(demands.build for demands in self._plan.builds)])
+        tasks = [asyncio.create_task(self._follow()), asyncio.create_task(self._vouch())]
+        while not self._over:
+            for demands in self._plan.builds:
+                if self._readiness.open(demands.build) or not self._heed:
+                    tasks.append(asyncio.create_task(self._file(demands)))
+            await asyncio.sleep(0.004)
+            tasks = [task for task in tasks if not task.done()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        while True:
+            path = b"/record/watch?relay=7&since=%d" % self._readiness.record.seq
+            try:
+                async for line in stream(self._loop, self._address, path, 3.0):
+                    self._readiness.hear(decode(line, Page).entries)
+            except Failed:
+                await asyncio.sleep(0.02)
+
+    async def _vouch(self) -> None:
+        while True:
+            await asyncio.sleep(0.005)
+            if owed := self._readiness.owes(self._clock()):
+                with contextlib.suppress(Failed, TimeoutError):
+                    body = msgspec.json.encode(SeenAsk(7, owed))
+                    answer = await call(self._loop, self._address, "POST", b"/seen", body, 1.0)
+                    if answer.status == 200:
+                        self._readiness.seen = owed
+
+    async def _file(self, demands: Demands) -> None:
+        lookup = Lookup(LANE, None, None, self._clock(), self._clock() + 10_000)
+        trip = Trip(lookup, None, 0, self._clock(), 10_000)  # type: ignore[arg-type]
+        self._readiness.sent(demands.build, trip)
+        known = False
+        try:
+            body = msgspec.json.encode(Told(demands.build, "filed", demands.write))
+            answer = await call(self._loop, self._address, "POST", b"/file", body, 1.0)
+            known = True
+            self.filed[demands.build] = self.filed.get(demands.build, 0) + 1
+            if answer.status != 200:
+                self.misfits.append(f"build {demands.build}: {answer.body.decode()}")
+        except (Failed, TimeoutError):
+            pass  # the store was away: it may still be carried out
+        finally:
+            self._readiness.ended(trip, known)
+
+
+LANE = Lane("file", 5_000, 10_000, 1.0, 0.0, Repeat.EFFECTFUL, Scope.ALL, 0, False, 0.0)
+
+
+def main() -> None:
+    """A runner's process that hurts itself at a point: PLAN PORT NUMBER SIGNAL."""
+    plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Steps)
+    left = int(sys.argv[3])
+
+    def at(point: str) -> None:
+        nonlocal left
+        left -= 1
+        if left == -1:
+            os.kill(os.getpid(), getattr(signal, sys.argv[4]))
+
+    async def whole() -> Stop:
+        goal, client = Goal(plan, past_back=True), Client(Address("127.0.0.1", int(sys.argv[2])))
+        return await Conductor(goal, f"hurt-{os.getpid()}", client, 0.2, at=at, patience=8.0).run()
+
+    stop = asyncio.run(whole())
+    sys.stdout.write(stop.text + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/lanelead/standins/unit.py
+++ b/lanelead/standins/unit.py
@@ -22,7 +22,6 @@
 import time
 from collections import deque
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import msgspec
@@ -35,42 +34,7 @@
 from lanelead.protocols.steps import Told
 from lanelead.settings.records import Address
 from lanelead.standins.capture import Tap, clock
-
-
-class Build(msgspec.Struct):
-    """What a build does wrong, if anything: how, how much of it, and in which lane."""
-
-    number: int
-    speed: float = 1.0
-    bad: str | None = None
-    strength: float = 0.5
-    lane: str | None = None
-
-
-class Life(msgspec.Struct):
-    """All that a unit is told at its start."""
-
-    name: str
-    folder: str
-    zone: str
-    cell: int
-    port: int
-    seed: int
-    cores: int
-    waiting_room: int
-    connections: int
-    cold_share: float
-    cold: float  # seconds; 0: it starts warm
-    fall_multiple: float
-    fall_time: float  # seconds
-    memory: dict[str, float]  # of receipts, by lane, in seconds
-    receipts: dict[str, str]  # by lane, the folder that the units of a group share for them
-    report: float  # seconds between load reports
-    errors: float
-    speed: float
-    build: Build
-    store: int = 0  # the port of the store where effectful lookups are filed; 0: none
-    write: str = ""  # how the build files them
+from lanelead.standins.engine import Engine, Life
 
 
 class Job:
@@ -89,22 +53,16 @@
         self.due = clock() + float(text(b"lanelead-left", "60000")) / 1000
 
 
-class Unit:
+class Unit(Engine):
     def __init__(self, life: Life) -> None:
-        self.life, self._loop = life, asyncio.get_running_loop()
-        self._chance = Random(life.seed)
+        super().__init__(life, clock)
+        self._loop = asyncio.get_running_loop()
         self._tap = Tap(Path(life.folder), f"unit-{life.name}")
-        self._start = clock()
-        self._busy, self._waiting = 0, deque[Job]()
+        self._waiting = deque[Job]()
         self._callers: dict[Caller, None] = {}
-        self._recent: deque[tuple[float, float]] = deque()
-        self._recent_sum = 0.0
-        self._faults: dict[str, dict[str, Any]] = {}
         self._load: tuple[float, bytes] = (-1.0, b"{}")
         self._server: asyncio.Server | None = None
-        self.shared = 1.0  # how far a build elsewhere slows this unit
         self.draining = False
-        self.fallen = False
         self.over = asyncio.Event()
         self._filing = set[asyncio.Task[None]]()
 
@@ -128,37 +86,6 @@
         )
         return port
 
-    # Pace
-
-    def _warmth(self) -> float:
-        life, age = self.life, clock() - self._start
-        if life.cold <= 0 or age >= life.cold:
-            return 1.0
-        return life.cold_share + (1 - life.cold_share) * age / life.cold
-
-    def _capacity(self) -> float:
-        """Seconds of work a second, as things stand."""
-        return self.life.cores * self.life.speed * self._warmth()
-
-    def _pace(self, job: Job) -> float:
-        build, pace = self.life.build, self.life.speed * self._warmth() * self.life.build.speed
-        if "slow" in self._faults:
-            pace /= max(1.0, self._faults["slow"]["size"])
-        if "neighbour" in self._faults and int(clock() * 0.5) % 2:
-            pace *= 1 - min(0.9, self._faults["neighbour"]["size"])
-        if build.bad == "slow" or (build.bad == "load" and self._busy > self.life.cores // 2):
-            pace /= 1 + 3 * build.strength
-        if build.bad == "late" and clock() - self._start > 4:
-            pace /= 1 + 3 * build.strength
-        return pace / self.shared
-
-    def _fault(self, name: str) -> dict[str, Any] | None:
-        return self._faults.get(name)
-
-    def _hit(self, name: str) -> bool:
-        fault = self._faults.get(name)
-        return fault is not None and self._chance.random() < min(1.0, fault["size"])
-
     # Connections
 
     def _met(self, caller: Caller) -> None:
@@ -211,20 +138,8 @@
         else:
             self._waiting.append(job)
 
-    def _weigh(self, job: Job, warmth: float) -> None:
-        now, life = clock(), self.life
-        if warmth >= 1.0:
-            return
-        self._recent.append((now, job.work))
-        self._recent_sum += job.work
-        while self._recent and self._recent[0][0] < now - life.fall_time:
-            self._recent_sum -= self._recent.popleft()[1]
-        if (
-            self._recent_sum > life.fall_multiple * self._capacity() * life.fall_time + 8 * 0.1
-            and not self.fallen
-        ):
-            self.fallen = True
-            self._tap.note("fell", work=self._recent_sum, warmth=round(warmth, 4))
+    def fell(self, work: float, warmth: float) -> None:
+        self._tap.note("fell", work=work, warmth=round(warmth, 4))
 
     # Work
 
@@ -292,15 +207,6 @@
             os.utime(name)
         return True
 
-    def _errs(self, job: Job) -> bool:
-        build = self.life.build
-        share = self.life.errors
-        if build.bad == "errors" or (build.bad == "lane" and job.lane == build.lane):
-            share = max(share, build.strength)
-        if build.bad == "late" and clock() - self._start > 4:
-            share = max(share, build.strength / 3)
-        return self._chance.random() < share or self._hit("errors")
-
     def _answer(self, job: Job) -> None:
         caller, build = job.caller, self.life.build
         fields: list[tuple[bytes, bytes]] = [(b"content-type", b"text/plain"), *self._gauge()]
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,221 @@
+"""Days in virtual time, judged as on sockets; queueing theory as an outside check; experiments as data."""
+
+from __future__ import annotations
+
+import sqlite3
+import tempfile
+import unittest
+from math import factorial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from click.testing import CliRunner
+
+from lanelead.cli import main
+from lanelead.days.commands import load
+from lanelead.days.judge import Verdict, judge
+from lanelead.experiments.run import interval, measures, paired, read
+from lanelead.model.baselines import POLICIES, LeastOfAll, LeastOfTwo
+from lanelead.model.core import Clock, stream
+from lanelead.model.town import Town
+from lanelead.rules import Relay
+from lanelead.settings.read import read_text
+from lanelead.settings.records import Day
+from lanelead.standins.saboteur import SEAMS
+from tests.test_day import SHORT
+
+
+def short() -> Day:
+    day = read_text(SHORT, "short")
+    assert isinstance(day, Day)
+    return day
+
+
+def judged(town: Town) -> Verdict:
+    with tempfile.TemporaryDirectory() as folder:
+        town.book.write(Path(folder), town.day)
+        return judge(Path(folder))
+
+
+class Time(unittest.TestCase):
+    def test_calls_run_in_order_and_those_of_one_moment_as_they_were_made(self) -> None:
+        clock, seen = Clock(), list[Any]()
+        for wait, name in ((2, "c"), (1, "a"), (1, "b"), (9, "never")):
+            clock.later(wait, seen.append, name)
+        clock.run(3)
+        self.assertEqual((seen, clock.now), (["a", "b", "c"], 3))
+
+    def test_streams_of_chance_are_apart(self) -> None:
+        drawn = {purpose: stream(1, purpose).random() for purpose in ("net", "desk")}
+        other = stream(1, "net")
+        self.assertEqual(other.random(), drawn["net"])
+        self.assertNotEqual(drawn["net"], drawn["desk"])
+
+
+class Days(unittest.TestCase):
+    def test_a_short_day_keeps_the_rules_and_the_same_seed_gives_the_same_log(self) -> None:
+        first, second = (Town(short(), 3).run() for _ in range(2))
+        self.assertEqual(msgspec.json.encode(first.book.files), msgspec.json.encode(second.book.files))
+        self.assertNotEqual(Town(short(), 4).run().book.files, first.book.files)
+        verdict = judged(first)
+        self.assertTrue(verdict.kept, verdict.rules)
+        for rule in ("answers", "effects", "drains", "cold", "exposure"):
+            self.assertGreater(verdict.rules[rule].seen, 0, rule)
+        self.assertEqual(first.value_share(), verdict.service)
+
+    def test_each_guard_that_is_taken_out_shows(self) -> None:
+        for seam in ("answers", "effects", "drains", "cold", "exposure"):
+            day = load("bad-day")
+            day = msgspec.structs.replace(day, seconds=30.0, events=[e for e in day.events if e.at < 28])
+            found = judged(Town(day, 1, lambda seam=seam, **given: SEAMS[seam](Relay(**given))).run())
+            self.assertGreater(found.rules[seam].broken, 0, seam)
+
+    def test_every_policy_keeps_the_rules(self) -> None:
+        for name, policy in POLICIES.items():
+            verdict = judged(Town(short(), 1, policy).run())
+            self.assertTrue(verdict.kept, (name, verdict.rules))
+            self.assertGreater(verdict.done, 250, name)
+
+    def test_the_command_line_plays_a_day(self) -> None:
+        result = CliRunner().invoke(main, ["model", "run", "crash", "--relays", "3", "--rate", "50"])
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertEqual(CliRunner().invoke(main, ["model", "run", "steps"]).exit_code, 2)
+        self.assertEqual(CliRunner().invoke(main, ["model", "run", "no-such-day"]).exit_code, 2)
+
+
+class Queues(unittest.TestCase):
+    """Exponential work and arrivals, one relay, no limits that bind: the known results hold."""
+
+    def wait(self, cores: int, load: float, policy: type[Relay], units: int = 1) -> float:
+        """The mean time of a lookup over its mean work."""
+        day = short()
+        lanes = [
+            msgspec.structs.replace(lane, expected_time_ms=60_000, outer_limit_ms=60_000)
+            for lane in day.service.lanes[:1]
+        ]
+        allowance = msgspec.structs.replace(
+            day.service.allowance, open_lookups=10**6, second_copies=False, probes=False
+        )
+        service = msgspec.structs.replace(day.service, lanes=lanes, members=[], allowance=allowance)
+        work = [msgspec.structs.replace(day.clients.work[0], ms=50, cv=1.0)]
+        clients = msgspec.structs.replace(
+            day.clients,
+            rate=load * cores * units / 0.05,
+            work=work,
+            retries=0,
+            connections=2000,
+            try_share=1.0,
+        )
+        shape = msgspec.structs.replace(
+            day.units, count=units, cores=cores, waiting_room=10**6, speed_spread=0, errors=0.0, zones=["a"]
+        )
+        none = msgspec.structs.replace(day.desk, offers=[])
+        day = msgspec.structs.replace(
+            day, service=service, clients=clients, units=shape, relays=1, seconds=1200.0 / units, events=[],
+            desk=none,
+        )  # fmt: skip
+        town = Town(day, 5, policy, silent=True, hop=1e-6)
+        town.demand._draw = lambda work: town.demand._chance.expovariate(1000 / work.ms)  # type: ignore[method-assign]
+        times = town.run().counts.times
+        return sum(times) / len(times) / 0.05
+
+    def test_one_server(self) -> None:
+        for busy in (0.5, 0.7):
+            known = 1 / (1 - busy)  # M/M/1
+            self.assertAlmostEqual(self.wait(1, busy, LeastOfAll) / known, 1.0, delta=0.08)
+
+    def test_many_servers(self) -> None:
+        cores, busy = 4, 0.8
+        offered = cores * busy  # M/M/c by Erlang's C formula
+        last = offered**cores / factorial(cores) / (1 - busy)
+        waits = last / (sum(offered**n / factorial(n) for n in range(cores)) + last)
+        known = 1 + waits / (cores * (1 - busy))
+        self.assertAlmostEqual(self.wait(cores, busy, LeastOfAll) / known, 1.0, delta=0.08)
+
+    def test_two_random_choices(self) -> None:
+        busy, units = 0.8, 40  # Mitzenmacher 1996: the mean time as the number of servers grows
+        known = sum(busy ** (2**i - 2) for i in range(1, 12))
+        self.assertAlmostEqual(self.wait(1, busy, LeastOfTwo, units) / known, 1.0, delta=0.08)
+
+
+PLAN = """
+experiment: {
+	name: "tiny", day: "crash"
+	set: {seconds: 4, units: count: 4}
+	factors: [{name: "load", levels: [
+		{name: "low", set: clients: rate: 30}, {name: "high", set: clients: rate: 60},
+	]}]
+	policies: ["lanelead", "random"]
+	seeds: {least: 2, most: 4}
+	stop: {measure: "service", half_width: 1e-9}
+}
+"""
+
+
+class Experiments(unittest.TestCase):
+    def call(self, *args: str) -> tuple[int, str]:
+        result = CliRunner().invoke(main, ["experiment", *args])
+        return result.exit_code, result.output
+
+    def test_a_plan_runs_goes_on_where_it_was_killed_and_reports(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            plan, out, html = Path(name, "plan.cue"), Path(name, "r.db"), Path(name, "r.html")
+            plan.write_text(PLAN)
+            code, said = self.call("run", str(plan), "-o", str(out), "--procs", "2")
+            self.assertEqual(code, 0, said)
+            before = read(out)
+            db = sqlite3.connect(out)  # as after a kill: some runs are missing
+            db.execute("DELETE FROM runs WHERE seed = 2 AND policy = 'random'")
+            db.commit()
+            db.close()
+            self.assertEqual(self.call("run", str(plan), "-o", str(out), "--procs", "2")[0], 0)
+            after = read(out)
+            for key, seeds in before[1].items():
+                for seed, found in seeds.items():
+                    again = dict(after[1][key][seed], cpu_s=0.0)
+                    self.assertEqual(again, dict(found, cpu_s=0.0))
+            self.assertEqual(self.call("report", str(out), "-o", str(html))[0], 0)
+            text = html.read_text()
+            self.assertIn("<svg", text)
+            self.assertNotIn("http://", text.replace("http://www.w3.org", "").replace("http://purl.org", "")
+                             .replace("http://creativecommons.org", ""))  # fmt: skip
+            plan.write_text(PLAN.replace("rate: 30", "rate: 31"))
+            code, said = self.call("run", str(plan), "-o", str(out))
+            self.assertEqual((code, "another plan" in said), (2, True))
+
+    def test_bad_plans_are_refused_with_file_and_line(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            plan = Path(name, "plan.cue")
+            for old, new, said in (
+                ('"random"', '"best"', "one of lanelead, random"),
+                ('"crash"', '"no-such"', "a day's name or file"),
+                ("units: count", "units: cuont", "a field of the day"),
+                ('measure: "service"', 'measure: "joy"', "one of service"),
+                ("least: 2", "least: 9", "no more than seeds.most"),
+                ('"tiny"', '""', "name"),
+            ):
+                plan.write_text(PLAN.replace(old, new))
+                code, shown = self.call("run", str(plan), "-o", str(Path(name, "r.db")))
+                self.assertEqual(code, 2, (new, shown))
+                self.assertIn(said, shown)
+                self.assertRegex(shown, r"plan\.cue:\d+")
+
+    def test_intervals_are_students_and_comparisons_by_pairs(self) -> None:
+        mean, half = interval([1.0, 2.0, 3.0])
+        self.assertAlmostEqual(mean, 2.0)
+        self.assertAlmostEqual(half, 4.303 / 3**0.5, places=3)
+        rows = {
+            ("c", "a"): {n: {"m": n + 0.5} for n in (1, 2, 3)},
+            ("c", "b"): {n: {"m": float(n)} for n in (1, 2, 4)},
+        }
+        self.assertEqual(paired(rows, "c", "a", "b", "m"), (0.5, 0.0, 2))
+
+    def test_a_runs_figures_are_those_of_the_judge(self) -> None:
+        with_judge, without = (measures(short(), "lanelead", 2, judged) for judged in (True, False))
+        self.assertEqual(with_judge["service"], without["service"])
+        self.assertEqual(with_judge["rules_broken"], 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_stepstore.py
+++ b/tests/test_stepstore.py
@@ -16,7 +16,7 @@
 from lanelead.protocols.steps import AppendAsk, ApplyAsk, Entry, LeaseAsk, Span
 from lanelead.settings.read import read
 from lanelead.settings.records import Steps
-from lanelead.standins.interrupts import Apart, Trial, check, counted
+from lanelead.standins.interrupts import Apart, Filer, Trial, check, counted
 from lanelead.store.ledger import Denied, Ledger
 from tests.test_steps import PLANS
 
@@ -201,6 +201,30 @@
         self.assertTrue(self.trial.go(place, "resume").good)
         self.assertEqual(check(place.file, self.trial.plan, whole=True), [])
 
+    def test_an_effect_that_takes_longer_than_its_limit_is_asked_for_and_not_had_again(self) -> None:
+        steps = [msgspec.structs.replace(step, limit_ms=60.0) for step in self.trial.plan.steps[:2]]
+        trial = Trial(msgspec.structs.replace(self.trial.plan, steps=steps, builds=[]), self.trial.folder)
+        place = trial.place()
+        self.addCleanup(place.close)
+        place.order(kind="slow", size=0.1)
+        self.assertTrue(trial.go(place).good)
+        self.assertEqual(check(place.file, trial.plan, whole=True), [])
+
+    def test_what_is_filed_meanwhile_fits_and_without_heeding_the_record_it_does_not(self) -> None:
+        for heed in (True, False):
+            place = self.trial.place()
+            self.trial.go(place, "take")
+            filer = Filer(place.port, self.trial.plan, heed)
+            try:
+                place.order(kind="cut", at="apply.commit", skip=2)
+                self.assertTrue(self.trial.go(place).good)
+            finally:
+                filer.close()
+                place.close()
+            self.assertEqual(bool(filer.misfits), not heed, filer.misfits[:3])
+            self.assertGreater(min(filer.filed.get(build, 0) for build in (1, 2)), 0)
+            self.assertEqual(check(place.file, self.trial.plan, whole=True), [])
+
     def test_the_checker_sees_what_it_is_for(self) -> None:
         place = self.trial.place()
         self.trial.go(place)
