--- a/benchmarks/step_costs.py
+++ b/benchmarks/step_costs.py
@@ -87,7 +87,7 @@
         db.executemany("INSERT INTO t (id) VALUES (?)", ((n,) for n in range(rows)))
         db.commit()
         db.close()
-        trial = Trial(backfill(1, 1, 1), folder, lambda file: Apart(file, free_ports(1)[0]))
+        trial = Trial(backfill(1, 1, 1), folder, lambda file: Apart(file, lambda: free_ports(1)[0]))
         base, _ = beside(trial, None, seconds, rate)
         click.echo("filings beside | median, 99th of 100, most: as ratios to none | backfill took, s")
         for said, plan in (
@@ -133,7 +133,7 @@
             ledger.append(AppendAsk(token, number + after, entry))
     ledger.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     ledger.close()
-    place = Apart(file, free_ports(1)[0])
+    place = Apart(file, lambda: free_ports(1)[0])
 
     async def read() -> float:
         client, record = Client(Address("127.0.0.1", place.port)), Record()
--- a/benchmarks/step_interrupts.py
+++ b/benchmarks/step_interrupts.py
@@ -34,7 +34,7 @@
 def trial(folder: str) -> Trial:
     plan = read(plan_file("offers"))
     assert isinstance(plan, Steps)
-    return Trial(counted(plan), Path(folder), lambda file: Apart(file, free_ports(1)[0]))
+    return Trial(counted(plan), Path(folder), lambda file: Apart(file, lambda: free_ports(1)[0]))
 
 
 def one(job: tuple[str, str, int]) -> tuple[str, str, int, list[str], int, float]:
--- /dev/null
+++ b/benchmarks/verdicts.py
@@ -0,0 +1,90 @@
+"""Verdicts on many builds, half of them bad in one of seven ways: who is sent back, rightly or not, and when.
+
+In the model; the same builds and arrivals for each policy. Precision: of those sent back, how many were bad;
+recall: of the bad, how many were sent back; with Wilson's 95% intervals. Run by hand:
+.venv/bin/python -m benchmarks.verdicts --builds 100 --relays 4
+"""
+
+from __future__ import annotations
+
+import math
+import multiprocessing
+import statistics
+from random import Random
+
+import click
+import msgspec
+
+from lanelead.days.commands import load
+from lanelead.model.baselines import POLICIES
+from lanelead.model.town import Town
+from lanelead.settings.records import Day, Offer
+
+KINDS = ("errors", "lane", "slow", "load", "late", "wrong", "shared")
+VOTERS = ("lanelead", "by clock", "error limit", "sequential")
+
+
+def day(number: int, relays: int, rate: float) -> Day:
+    base, chance = load("bad-day"), Random(f"build {number}")
+    bad = KINDS[number // 2 % len(KINDS)] if number % 2 else None
+    offer = Offer(at=3.0, strength=chance.uniform(0.1, 0.8), speed=1.0, bad=bad,
+                  lane="offer-submit" if bad == "lane" else None)  # fmt: skip
+    poll = msgspec.structs.replace(base.service.poll, complaint_share=0.5)
+    return msgspec.structs.replace(
+        base, relays=relays, seconds=45.0, events=[], units=msgspec.structs.replace(base.units, count=12),
+        clients=msgspec.structs.replace(base.clients, rate=rate),
+        service=msgspec.structs.replace(base.service, poll=poll),
+        desk=msgspec.structs.replace(base.desk, offers=[offer]),
+    )  # fmt: skip
+
+
+def one(job: tuple[int, int, float, str]) -> tuple[str, str | None, float | None, bool]:
+    """The policy, how the build was bad, when it was sent back, and whether it was released first."""
+    number, relays, rate, policy = job
+    town = Town(day(number, relays, rate), number, POLICIES[policy]).run()
+    facts = town.book.files["desk"]
+    offered = town.day.desk.offers[0]
+    back = next((fact["t"] - 3603.0 for fact in facts if fact["ev"] == "sent_back"), None)
+    released = any(fact["ev"] == "state" and fact["phase"] == "released" for fact in facts)
+    return policy, offered.bad, back, released
+
+
+def wilson(hits: int, of: int) -> str:
+    if not of:
+        return "-"
+    z, p = 1.96, hits / of
+    middle, wide = p + z * z / 2 / of, z * math.sqrt(p * (1 - p) / of + z * z / 4 / of / of)
+    low, high = (middle - wide) / (1 + z * z / of), (middle + wide) / (1 + z * z / of)
+    return f"{p:.2f} ({low:.2f} to {high:.2f})"
+
+
+@click.command()
+@click.option("--builds", default=100)
+@click.option("--relays", default=4)
+@click.option("--rate", default=90.0)
+@click.option("--procs", default=0)
+def main(builds: int, relays: int, rate: float, procs: int) -> None:
+    jobs = [(number, relays, rate, policy) for policy in VOTERS for number in range(builds)]
+    with multiprocessing.get_context("spawn").Pool(procs or None) as pool:
+        rows = pool.map(one, jobs, chunksize=4)
+    click.echo(f"{builds} builds, {relays} relays, {rate:g} lookups a second")
+    click.echo("votes | precision | recall | seconds to back, median | good released | recall by kind")
+    for policy in VOTERS:
+        mine = [row for row in rows if row[0] == policy]
+        back = [row for row in mine if row[2] is not None]
+        bad, good = [row for row in mine if row[1]], [row for row in mine if not row[1]]
+        hits = [row for row in back if row[1]]
+        kinds = ", ".join(
+            f"{kind} {sum(row[1] == kind for row in hits)}/{sum(row[1] == kind for row in bad)}"
+            for kind in KINDS
+        )
+        soon = f"{statistics.median(row[2] for row in hits if row[2] is not None):.1f}" if hits else "-"
+        fine = sum(row[3] and row[2] is None for row in good)
+        click.echo(
+            f"{policy} | {wilson(len(hits), len(back))} | {wilson(len(hits), len(bad))} | {soon} | "
+            f"{fine} of {len(good)} | {kinds}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -58,9 +58,10 @@
 def _rest() -> None:
     from lanelead.days.commands import day
     from lanelead.experiments.commands import experiment, model
+    from lanelead.load.commands import load
     from lanelead.steps.commands import steps, store
 
-    for command in (day, steps, store, model, experiment):
+    for command in (day, steps, store, model, experiment, load):
         main.add_command(command)
 
 
--- /dev/null
+++ b/lanelead/load/commands.py
@@ -0,0 +1,81 @@
+"""`lanelead load`."""
+
+from __future__ import annotations
+
+import sqlite3
+import sys
+
+import click
+import uvloop
+
+from lanelead.load.generator import OUTCOMES, Load, Result, Shape
+
+
+@click.command()
+@click.argument("relay")
+@click.option("--rate", default=100.0, type=click.FloatRange(0.1, 1e5), help="Lookups a second.")
+@click.option("--seconds", default=10.0, type=click.FloatRange(0.1, 3600))
+@click.option("--method", default="GET")
+@click.option("--path", default="/")
+@click.option("--member", multiple=True, help="One is drawn for each lookup.")
+@click.option("--keys", default=0, type=click.IntRange(0), help="How many different keys.")
+@click.option("--body", default=0, type=click.IntRange(0, 1 << 26), help="Bytes.")
+@click.option("--left", default=0, type=click.IntRange(0), help="How long a client waits, in ms.")
+@click.option("--connections", default=256, type=click.IntRange(1, 20000))
+@click.option("--even", is_flag=True, help="Evenly spaced, rather than by chance.")
+@click.option(
+    "--ramp", default=1.0, type=click.FloatRange(0.01, 100), help="Rate at the end over the start's."
+)
+@click.option("--seed", default=1, type=click.IntRange(0))
+@click.option("-o", "--out", type=click.Path(dir_okay=False), help="Adds the figures to results as SQLite.")
+def load(
+    relay: str, rate: float, seconds: float, method: str, path: str, member: tuple[str, ...], keys: int,
+    body: int, left: int, connections: int, even: bool, ramp: float, seed: int, out: str | None,
+) -> None:  # fmt: skip
+    """Asks RELAY (HOST:PORT) at a steady rate, whether or not it answers.
+
+    Times count from when each lookup was due. Exits with 3 where the rate could not be held: such a run says
+    nothing of the relay."""
+    host, _, port = relay.rpartition(":")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise click.BadParameter(f"{relay!r}: expected HOST:PORT")
+    shape = Shape(rate, seconds, method.upper(), path, member, keys, body, left, connections, not even, ramp)
+
+    async def whole() -> Result:
+        return await Load(shape, host or "127.0.0.1", int(port), seed).run()
+
+    result = uvloop.run(whole())
+    click.echo("outcome | lookups | p50 ms | p90 | p99 | p99.9 | most")
+    for name in OUTCOMES:
+        if result.count(name):
+            took = result.took[name]
+            parts = [took.get_value_at_percentile(part) / 1000 for part in (50, 90, 99, 99.9, 100)]
+            click.echo(f"{name} | {result.count(name)} | {' | '.join(f'{part:.2f}' for part in parts)}")
+    late = result.late
+    click.echo(
+        f"handed over late by {late.get_value_at_percentile(50) / 1000:.2f} ms in the median, "
+        f"{late.get_value_at_percentile(99) / 1000:.2f} in 1 of 100"
+    )
+    if out is not None:
+        keep(out, relay, seed, result)
+    if why := result.held(rate):
+        click.echo(f"the rate was not held: {why}", err=True)
+        sys.exit(3)
+
+
+def keep(file: str, cell: str, seed: int, result: Result) -> None:
+    """The figures, in the form of an experiment's results."""
+    from lanelead.experiments.run import TABLES
+
+    total = max(1, sum(result.count(name) for name in OUTCOMES))
+    rows = {"done": "done", "shed": "shed", "broken_off": "broken-off"}
+    found = {measure: result.count(name) / total for measure, name in rows.items()}
+    found["p50_ms"] = result.took["done"].get_value_at_percentile(50) / 1000
+    found["p99_ms"] = result.took["done"].get_value_at_percentile(99) / 1000
+    found["late_ms"] = result.late.get_value_at_percentile(99) / 1000
+    db = sqlite3.connect(file)
+    db.executescript(TABLES)
+    values = [(cell, "sockets", seed, measure, value) for measure, value in found.items()]
+    db.executemany("INSERT OR REPLACE INTO runs VALUES (?, ?, ?, ?, ?)", values)
+    db.commit()
+    db.close()
--- a/lanelead/standins/interrupts.py
+++ b/lanelead/standins/interrupts.py
@@ -119,10 +119,13 @@
 class Apart:
     """A store in a process, started again at the same port whenever it has been killed."""
 
-    def __init__(self, file: Path, port: int) -> None:
-        self.file, self.port = file, port
+    def __init__(self, file: Path, port: Callable[[], int]) -> None:
+        self.file, self.port = file, port()
         self._over = False
         self._process = self._start()
+        while self._process.poll() is not None:  # another process was faster at this port
+            self.port = port()
+            self._process = self._start()
         self._keeper = threading.Thread(target=self._keep, daemon=True)
         self._keeper.start()
 
@@ -130,7 +133,8 @@
         args = [sys.executable, "-m", "lanelead.standins.stepstore", str(self.file), str(self.port)]
         process = subprocess.Popen(args, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         assert process.stdout is not None
-        process.stdout.readline()
+        if not process.stdout.readline():
+            process.wait()
         return process
 
     def _keep(self) -> None:
--- a/tests/test_stepstore.py
+++ b/tests/test_stepstore.py
@@ -248,7 +248,7 @@
 class Processes(unittest.TestCase):
     def test_the_command_line_runs_a_plan_on_a_store_that_is_killed_on_the_way(self) -> None:
         with tempfile.TemporaryDirectory() as name:
-            trial = Trial(offers(), Path(name), lambda file: Apart(file, free_ports(1)[0]))
+            trial = Trial(offers(), Path(name), lambda file: Apart(file, lambda: free_ports(1)[0]))
             place = trial.place()
             self.addCleanup(place.close)
             plan = Path(name, "offers.cue")
