--- a/lanelead/experiments/report.py
+++ b/lanelead/experiments/report.py
@@ -61,6 +61,8 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
+    pyplot.rcParams["svg.fonttype"] = "none"  # text stays text: a fifth of the size
+    pyplot.rcParams["svg.hashsalt"] = measure  # the same results, the same file
     cells = list(dict.fromkeys(row["cell"] for row in rows))
     policies = list(dict.fromkeys(row["policy"] for row in rows))
     picture, axis = pyplot.subplots(figsize=(9, 3))
