A full disk and a record that has become shorter are told, not guessed at

Need: bad input from the store's side ends in a clear word. A record entry that the disk had no room for closed the call without an answer; a store replaced by an older copy left relays waiting for entries that would never come.

Change: SQLite's errors are answered as 'failed' with the reason; a relay refuses a page whose record is shorter than what it has read, says so, and goes on with what it knew. A story for each; both pass.

--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -49,7 +49,7 @@
     Wake,
     Watch,
 )
-from lanelead.protocols.records import Listed, NewsLine
+from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.protocols.steps import Page
 from lanelead.steps.join import Readiness
 
@@ -254,6 +254,10 @@
     def steps(self, page: Page) -> None:
         """The record of steps has grown. Raises Malformed where it follows no rules."""
         assert self.readiness is not None
+        if page.last < self.readiness.record.seq:  # another store, or an old copy: what it says is not this
+            raise Malformed(
+                f"a record of {page.last} entries, of which {self.readiness.record.seq} were read"
+            )
         self._now()
         self.readiness.hear(page.entries)
         self._relist()
--- a/lanelead/store/service.py
+++ b/lanelead/store/service.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import signal
+import sqlite3
 import sys
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
@@ -104,6 +105,8 @@
             return 200, encode(call(ask, query))
         except Malformed as fault:
             return 400, encode(Refusal("malformed", str(fault)))
+        except sqlite3.Error as fault:  # rolled back: a full disk, say
+            return 422, encode(Refusal("failed", f"{type(fault).__name__}: {fault}"))
         except Denied as denied:
             return STATUS.get(denied.why, 409), encode(Refusal(denied.why, denied.text))  # type: ignore[arg-type]
 
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -120,6 +120,13 @@
         self.stage.run(30 * SECOND)  # what the earlier build did lately is forgotten
         self.assertIn(2, self.builds())
 
+    def test_a_record_that_has_become_shorter_is_refused_and_what_was_known_stays(self) -> None:
+        self.driver.steps(page(*through("a"), since=1))
+        with self.assertRaisesRegex(Malformed, "1 entries, of which 3 were read"):
+            self.driver.steps(page(TAKEN))
+        self.stage.run(30 * SECOND)
+        self.assertIn(2, self.builds())
+
     def test_a_trip_that_was_chosen_before_a_closing_is_not_written_after_it(self) -> None:
         self.stage.ask()
         trip = self.stage.hands.sent[-1][1]
--- a/tests/test_stepstore.py
+++ b/tests/test_stepstore.py
@@ -201,6 +201,16 @@
         self.assertTrue(self.trial.go(place, "resume").good)
         self.assertEqual(check(place.file, self.trial.plan, whole=True), [])
 
+    def test_a_call_that_the_disk_has_no_room_for_is_refused_with_the_reason(self) -> None:
+        place = self.trial.place()
+        self.addCleanup(place.close)
+        big = msgspec.structs.replace(self.trial.plan, name="big")
+        steps = [msgspec.structs.replace(big.steps[0], name=f"s{n}", apply=["x" * 3000]) for n in range(20)]
+        trial = Trial(msgspec.structs.replace(big, steps=steps, builds=[]), self.trial.folder)
+        place.order(kind="full")
+        self.assertIn("full", trial.go(place, "take").text)
+        self.assertEqual(check(place.file, trial.plan), [])
+
     def test_an_effect_that_takes_longer_than_its_limit_is_asked_for_and_not_had_again(self) -> None:
         steps = [msgspec.structs.replace(step, limit_ms=60.0) for step in self.trial.plan.steps[:2]]
         trial = Trial(msgspec.structs.replace(self.trial.plan, steps=steps, builds=[]), self.trial.folder)
