A story of one member's burst while a zone is lost: nobody starves

Need: member shares during spill had no story.

Change: one in the model, with the relays' own decisions and the judge.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -77,6 +77,27 @@
             self.assertTrue(verdict.kept, (name, verdict.rules))
             self.assertGreater(verdict.done, 250, name)
 
+    def test_one_members_burst_while_a_zone_is_lost_starves_nobody(self) -> None:
+        day = load("zone-loss")
+        lost = day.events[0]
+        burst = msgspec.structs.replace(
+            lost, kind="member_burst", at=9.0, for_=8.0, size=6.0, member="aigaio-energy", zone=None
+        )
+        clients = msgspec.structs.replace(day.clients, rate=160.0)
+        day = msgspec.structs.replace(day, seconds=18.0, events=[lost, burst], clients=clients)
+        town = Town(day, 1).run()
+        facts = town.book.files["clients"]
+        member = {fact["id"]: fact["member"] for fact in facts if fact["ev"] == "ask" and fact["t"] > 3609}
+        ends: dict[str, list[bool]] = {}
+        for fact in facts:
+            if fact["ev"] == "answer" and fact["id"] in member:
+                ends.setdefault(member[fact["id"]], []).append(fact["outcome"] == "done")
+        shares = {name: sum(some) / len(some) for name, some in ends.items()}
+        self.assertEqual(len(shares), 3)
+        self.assertLess(min(shares.values()), 0.99)  # there was not room for all
+        self.assertGreater(min(shares.values()), 0.8)
+        self.assertTrue(judged(town).kept)
+
     def test_the_command_line_plays_a_day(self) -> None:
         result = CliRunner().invoke(main, ["model", "run", "crash", "--relays", "3", "--rate", "50"])
         self.assertEqual(result.exit_code, 0, result.output)
