--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -7,7 +7,7 @@
 from typing import TextIO
 
 from lanelead.benchlink import wire
-from lanelead.benchlink.wire import Malformed, millis
+from lanelead.benchlink.wire import millis
 from lanelead.door import Door, pack, unpack
 from lanelead.interface import (
     BreakOff,
@@ -33,6 +33,7 @@
     Wake,
     Watch,
 )
+from lanelead.opening import Malformed, Opening, known, number, ticks, whole
 from lanelead.rules import Relay
 
 Words = list[str]
@@ -42,7 +43,7 @@
     """One instance: its decisions, and the tables between the wire's ids and the objects."""
 
     def __init__(self, words: Words, now: Ticks) -> None:
-        opening = wire.Opening(words[2:])
+        opening = Opening(words[2:])
         lanes, members = opening.lanes(), opening.members()
         self.relay: Decisions = Relay(
             place=opening.place(),
@@ -53,7 +54,7 @@
             trial=opening.trial(),
             poll=opening.poll(),
             tariff=opening.tariff(),
-            chance=Random(wire.whole(words[1])),
+            chance=Random(whole(words[1])),
             now=now,
         )
         self.lanes = {lane.name: lane for lane in lanes}
@@ -71,7 +72,7 @@
         lookup = self.lookups.get(wire.ident(msg))
         if lookup is None:
             return None
-        place = wire.whole(shot)
+        place = whole(shot)
         if not 0 <= place < len(lookup.trips):
             raise Malformed(f"no trip {shot} of lookup {msg}")
         return lookup.trips[place]
@@ -88,19 +89,19 @@
     # Events
 
     def roster(self, words: Words, entries: list[Words]) -> None:
-        coverage = wire.known(wire.COVERAGES, words[1])
+        coverage = known(wire.COVERAGES, words[1])
         listings = []
         for _, zone, cell, since, kind, name, build, size, condition in entries:
             listings.append(
                 Listing(
                     unit=self.door.unit(name),
                     zone=zone,
-                    cell=int(wire.number(cell)),
+                    cell=int(number(cell)),
                     kind=kind,
-                    since=wire.ticks(since),
-                    build=int(wire.number(build)),
-                    size=wire.number(size, 1.0),
-                    condition=wire.known(wire.CONDITIONS, condition),
+                    since=ticks(since),
+                    build=int(number(build)),
+                    size=number(size, 1.0),
+                    condition=known(wire.CONDITIONS, condition),
                 )
             )
         self.relay.roster(coverage, listings)
@@ -108,12 +109,12 @@
     def ask(self, words: Words) -> None:
         _, msg, lane, member, key, left, hint, again, write = words
         lookup = Lookup(
-            lane=wire.known(self.lanes, lane),
-            member=None if member in ("-", "0") else wire.known(self.members, member),
+            lane=known(self.lanes, lane),
+            member=None if member in ("-", "0") else known(self.members, member),
             key=None if key == "-" else key,
             taken=self.relay.now,
-            due=self.relay.now + wire.ticks(left),
-            hint=None if hint == "-" else wire.ticks(hint),
+            due=self.relay.now + ticks(left),
+            hint=None if hint == "-" else ticks(hint),
             again=wire.flag(again),
             write=wire.flag(write),
         )
@@ -128,9 +129,9 @@
             return
         if self.door.names[trip.unit] != name:
             raise Malformed(f"trip {shot} of lookup {msg} went to {self.door.names[trip.unit]}, not {name}")
-        fate = wire.known(wire.FATES, outcome)
+        fate = known(wire.FATES, outcome)
         closed, load = wire.flag(finished), wire.report(gauge, self.gauges)
-        self.relay.ended(trip, fate, closed, wire.ticks(took), load)
+        self.relay.ended(trip, fate, closed, ticks(took), load)
         self.touched.append(trip.lookup)
 
     def accepted(self, words: Words) -> None:
@@ -146,24 +147,24 @@
 
     def heard(self, words: Words) -> None:
         sightings = unpack(wire.octets(words[2]), self.door.marks, [*self.lanes.values()])
-        self.relay.heard(wire.whole(words[1]), sightings)
+        self.relay.heard(whole(words[1]), sightings)
 
     def bad_answer(self, words: Words) -> None:
-        lane = wire.known(self.lanes, words[2])
-        self.relay.complaint(self.door.unit(words[1]), lane, wire.ticks(words[3]))
+        lane = known(self.lanes, words[2])
+        self.relay.complaint(self.door.unit(words[1]), lane, ticks(words[3]))
 
     def rollout_state(self, words: Words) -> None:
         _, image, tranche, course, code, outcome, exposure, age = words
         phases = {str(phase.value): phase for phase in Phase}
         self.relay.news(
             News(
-                build=int(wire.number(image)),
-                stage=int(wire.number(tranche)),
-                phase=Phase.TRIAL if course == "-" else wire.known(phases, course),
-                cap=wire.number(exposure),
-                age=wire.ticks(age),
+                build=int(number(image)),
+                stage=int(number(tranche)),
+                phase=Phase.TRIAL if course == "-" else known(phases, course),
+                cap=number(exposure),
+                age=ticks(age),
                 answer=wire.flag(code),
-                word=wire.known(wire.FATES, outcome),
+                word=known(wire.FATES, outcome),
             )
         )
 
@@ -171,22 +172,22 @@
         _, image, lost, lane, age, samples, took = words
         self.relay.tally(
             Tally(
-                build=wire.whole(image),
-                lane=wire.known(self.lanes, lane),
-                trips=wire.whole(samples),
-                lost=wire.whole(lost),
-                took=wire.ticks(took),
-                age=wire.ticks(age),
+                build=whole(image),
+                lane=known(self.lanes, lane),
+                trips=whole(samples),
+                lost=whole(lost),
+                took=ticks(took),
+                age=ticks(age),
             )
         )
 
     def probe_done(self, words: Words) -> None:
         _, name, outcome, took, gauge = words
-        fate, load = wire.known(wire.FATES, outcome), wire.report(gauge, self.gauges)
-        self.relay.probed(self.door.unit(name), fate, wire.ticks(took), load)
+        fate, load = known(wire.FATES, outcome), wire.report(gauge, self.gauges)
+        self.relay.probed(self.door.unit(name), fate, ticks(took), load)
 
     def elapsed(self, words: Words) -> None:
-        tag = wire.whole(words[1])
+        tag = whole(words[1])
         if tag not in self.wakes:
             raise Malformed(f"no timer {tag}")
         lookup = self.wakes.pop(tag)
@@ -267,7 +268,7 @@
         head = wire.split(lines[0])
         if head[0] != "TICK":
             raise Malformed(f"a batch that begins with {head[0]}")
-        now, number = wire.ticks(head[1]), wire.whole(head[2])
+        now, number = ticks(head[1]), whole(head[2])
         named: dict[str, list[str]] = {}
         name, place = "", 1
         while place < len(lines):
@@ -277,11 +278,11 @@
                 name = words[1]
                 named.setdefault(name, [])
             elif words[0] == "MANIFEST":
-                many = wire.whole(words[2])
+                many = whole(words[2])
                 entries = [wire.split(line) for line in lines[place : place + many]]
                 if len(entries) != many or any(entry[0] != "ENTRY" for entry in entries):
                     raise Malformed("a list shorter than it says")
-                self.lists[wire.whole(words[1])] = entries
+                self.lists[whole(words[1])] = entries
                 place += many
             elif not name:
                 raise Malformed(f"{words[0]} for no instance")
@@ -313,8 +314,8 @@
         if words[0] == "STOP":
             del self.hosts[name]
         elif words[0] == "DIRECTORY_UPDATE":
-            failed = wire.known(wire.COVERAGES, words[1]) is Coverage.FAILED
-            place = 0 if failed else wire.whole(words[3])
+            failed = known(wire.COVERAGES, words[1]) is Coverage.FAILED
+            place = 0 if failed else whole(words[3])
             if not failed and place not in self.lists:
                 raise Malformed(f"no list {place}")
             host.roster(words, [] if failed else self.lists[place])
--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -1,18 +1,37 @@
-"""The command line: relay, check, day, steps and store."""
+"""The command line. Commands are loaded when they are called for: a relay starts on part of a core."""
 
 from __future__ import annotations
 
+import importlib
 import sys
 
 import click
 
 from lanelead import VERSION
-from lanelead.settings.cue import Unfit
-from lanelead.settings.read import read
-from lanelead.settings.records import Day, Experiment, Relay, Steps
 
+ELSEWHERE = {  # commands by name, and where they stand
+    "day": "lanelead.days.commands",
+    "steps": "lanelead.steps.commands",
+    "store": "lanelead.steps.commands",
+    "model": "lanelead.experiments.commands",
+    "experiment": "lanelead.experiments.commands",
+    "load": "lanelead.load.commands",
+}
 
-@click.group()
+
+class Lazy(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *ELSEWHERE])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name in ELSEWHERE:
+            found = getattr(importlib.import_module(ELSEWHERE[cmd_name]), cmd_name)
+            assert isinstance(found, click.Command)
+            return found
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Lazy)
 @click.version_option(VERSION, prog_name="lanelead")
 def main() -> None:
     """A release controller with a router that moves traffic between builds."""
@@ -22,6 +41,10 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path())
 def check(files: tuple[str, ...]) -> None:
     """Checks settings files; says all that is wrong, and exits with 2 where anything is."""
+    from lanelead.settings.cue import Unfit
+    from lanelead.settings.read import read
+    from lanelead.settings.records import Day, Experiment, Relay, Steps
+
     bad = False
     for file in files:
         try:
@@ -43,6 +66,9 @@
 def relay(settings: str, console: bool) -> None:
     """Runs a relay until SIGTERM; it then drains and exits with 0."""
     from lanelead.relay.main import run
+    from lanelead.settings.cue import Unfit
+    from lanelead.settings.read import read
+    from lanelead.settings.records import Relay
 
     try:
         record = read(settings)
@@ -55,14 +81,10 @@
     run(record, "console" if console else record.log)
 
 
-def _rest() -> None:
-    from lanelead.days.commands import day
-    from lanelead.experiments.commands import experiment, model
-    from lanelead.load.commands import load
-    from lanelead.steps.commands import steps, store
-
-    for command in (day, steps, store, model, experiment, load):
-        main.add_command(command)
-
+@main.command()
+@click.option("--console", is_flag=True, help="Logs for people rather than JSON lines.")
+def node(console: bool) -> None:
+    """Runs the relay that the platform's NODE_CONFIG describes, until SIGTERM."""
+    from lanelead.node.main import run
 
-_rest()
+    run("console" if console else "json")
--- a/lanelead/door.py
+++ b/lanelead/door.py
@@ -32,6 +32,14 @@
             self.names[unit] = name
         return self.units[name]
 
+    def forget(self, unit: Unit) -> None:
+        """For a unit that is gone: one that comes back by this name is met anew."""
+        name = self.names.pop(unit, None)
+        if name is not None:
+            del self.units[name]
+        if self.marks.get(unit.mark) is unit:
+            del self.marks[unit.mark]
+
 
 def pack(sightings: Sequence[Sighting], lanes: Sequence[Lane]) -> list[bytes]:
     """Sightings as messages of the allowed length."""
--- /dev/null
+++ b/lanelead/node/desk.py
@@ -0,0 +1,122 @@
+"""The platform's desk: one connection that watches and carries this relay's votes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from lanelead.http.calls import connect
+from lanelead.interface import Fate, Vote
+from lanelead.protocols.platform import VERDICTS, WORDS, Line, address, asked, state
+from lanelead.protocols.records import Lines, Malformed, NewsLine, decode
+from lanelead.settings.records import Address
+
+SIGNS = 1.0  # seconds between the platform's signs of life
+SILENCE = 2.5 * SIGNS
+PAUSE = 0.2  # before a connection is tried again, with a random part
+LONGEST = 65536  # bytes of one line
+Heard = Callable[[NewsLine | None, bool, Fate], None]
+
+
+class Desk:
+    """`heard` is told of news, and of what came of each vote: an end after its last byte may have counted."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        where: str,
+        heard: Heard,
+        answer_limit: float,
+        chance: Random,
+        log: Any,
+    ) -> None:
+        self._loop, self._where, self._heard = loop, Address(*address(where)), heard
+        self._limit, self._chance, self._log = answer_limit, chance, log
+        self._sock: socket.socket | None = None
+        self._number = 0
+        self._votes: dict[int, asyncio.TimerHandle] = {}
+        self.up = self.retired = False
+
+    def vote(self, vote: Vote) -> None:
+        params = {"build": vote.build, "stage": vote.stage, "verdict": VERDICTS[vote.verdict]}
+        text = asked(self._number + 1, "Rollout.Judge", params)
+        try:
+            if self._sock is None or self._sock.send(text) != len(text):
+                raise OSError("not connected, or not taken whole")
+        except OSError as fault:  # its last byte was not written: it never counted
+            self._log.info("vote not cast", reason=str(fault))
+            self._loop.call_soon(self._heard, None, True, Fate.UNREACHABLE)
+            self._end()
+            return
+        self._number += 1
+        number = self._number
+        self._votes[number] = self._loop.call_later(self._limit, self._late, number)
+        self._log.info("vote", **params)
+
+    def _late(self, number: int) -> None:
+        if self._votes.pop(number, None) is not None:
+            self._log.info("vote without an answer")
+            self._heard(None, True, Fate.TIMED_OUT)
+
+    def _end(self) -> None:
+        """The connection is of no more use; the task that reads it finds that out."""
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+
+    async def run(self) -> None:
+        while not self.retired:
+            try:
+                await self._watch()
+            except (OSError, Malformed, TimeoutError) as fault:
+                if self.up:
+                    self._log.warning("feed down", feed="desk", reason=str(fault) or "silent")
+            self.up = False
+            for timer in self._votes.values():
+                timer.cancel()
+            votes, self._votes = len(self._votes), {}
+            for _ in range(votes):
+                self._heard(None, True, Fate.TIMED_OUT)
+            await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
+
+    async def _watch(self) -> None:
+        lines = Lines(LONGEST)
+        async with asyncio.timeout(SIGNS):
+            sock = await connect(self._loop, self._where)
+        try:
+            self._number += 1
+            await self._loop.sock_sendall(sock, asked(self._number, "Events.Watch"))
+            self._sock = sock
+            while True:
+                async with asyncio.timeout(SILENCE):
+                    data = await self._loop.sock_recv(sock, 16384)
+                if not data:
+                    raise OSError("closed by the platform")
+                for line in lines.feed(data):
+                    self._line(decode(line, Line))
+                if not self.up:
+                    self.up = True
+                    self._log.info("feed up", feed="desk")
+        finally:
+            self._sock = None
+            sock.close()
+
+    def _line(self, line: Line) -> None:
+        if line.method == "stage":
+            self._heard(state(line.params).line(), False, Fate.DONE)
+        elif line.method is not None:  # ping, and what later platforms may tell
+            return
+        elif line.id is not None and (timer := self._votes.get(line.id)) is not None:
+            if line.error is not None:
+                news, word = None, WORDS.get(line.error.message, Fate.ERROR)
+            else:
+                news, word = state(line.result).line(), Fate.DONE
+            timer.cancel()
+            del self._votes[line.id]
+            self._heard(news, True, word)
+        elif line.id is None or not 0 < line.id <= self._number:
+            raise Malformed("an answer to no call")
--- /dev/null
+++ b/lanelead/node/main.py
@@ -0,0 +1,35 @@
+"""Starts the platform's relay on uvloop."""
+
+from __future__ import annotations
+
+import gc
+import sys
+
+import uvloop
+
+from lanelead.logs import logger
+from lanelead.node.config import load, path
+from lanelead.node.service import Service
+from lanelead.protocols.records import Malformed
+
+
+def run(form: str) -> None:
+    """Serves until SIGTERM. A configuration that can't be read ends the process with one line."""
+    try:
+        where = path()
+        config = load(where)
+    except Malformed as fault:
+        print(f"lanelead: configuration: {fault}", file=sys.stderr)
+        raise SystemExit(2) from None
+    log = logger(form)
+
+    async def serve() -> None:
+        service = Service(config, where, log)
+        # What was made up to here lives as long as the process: left to the collector it would be walked
+        # again and again while lookups wait.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(5_000, 20, 50)
+        await service.run(config)
+
+    uvloop.run(serve())
--- /dev/null
+++ b/lanelead/pgwire/units.py
@@ -0,0 +1,155 @@
+"""What a link reads from a unit: bytes in, and whether there is one whole, well-formed answer.
+
+One question is out at a time. An answer is whole with its CommandComplete or ErrorResponse; the connection is
+of use again only once ReadyForQuery has come too, with nothing behind it. What does not fit spoils it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from struct import Struct
+
+LENGTH = Struct("!i")
+COUNT = Struct("!h")
+CELL = Struct("!hi")
+SKIPPED = frozenset(b"NA")  # notices and notifications, at any time
+
+
+class Progress(Enum):
+    WAITING = "waiting"
+    READY = "ready"  # the unit has welcomed this connection
+    ANSWERED = "answered"  # see `answer`
+    SPOILT = "spoilt"  # see `reason`
+
+
+@dataclass(slots=True)
+class Answer:
+    """A row, as the messages that it came in and as its value, or an error's code. `report`: the text of the
+    ParameterStatus that the reader looks for."""
+
+    raw: bytes = b""
+    value: bytes | None = None
+    code: str | None = None
+    text: str = ""
+    report: bytes | None = None
+
+
+def error_fields(body: bytes) -> dict[str, str] | None:
+    """None where the fields don't fill the message."""
+    if len(body) < 2 or body[-2:] != b"\0\0":
+        return None
+    words = body[:-2].split(b"\0")
+    if b"" in words:
+        return None
+    return {chr(word[0]): word[1:].decode("utf-8", "replace") for word in words}
+
+
+class UnitReader:
+    def __init__(self, longest: int, report: bytes) -> None:
+        self._rest, self._longest, self._report = b"", longest, report
+        self.ready = False  # welcomed, and nothing is out
+        self._asking = False
+        self._raw: list[bytes] = []
+        self._answer = Answer()
+        self.answer: Answer | None = None
+        self.reason = ""
+
+    @property
+    def began(self) -> bool:
+        """Part of an answer has come."""
+        return bool(self._rest or self._raw)
+
+    def expect(self) -> None:
+        """A question goes out."""
+        self._asking, self.ready = True, False
+        self._raw, self._answer, self.answer = [], Answer(), None
+
+    def feed(self, data: bytes) -> Progress:
+        data = self._rest + data if self._rest else data
+        at, end, before = 0, len(data), self.answer
+        while at < end:
+            if self.ready:
+                return self._spoilt("unasked bytes", before)
+            kind = data[at]
+            if kind not in b"TDCEZSRKNA":
+                return self._spoilt(f"message type {kind}", before)
+            if end - at < 5:
+                break
+            size = LENGTH.unpack_from(data, at + 1)[0]
+            if not 4 <= size <= self._longest:
+                return self._spoilt(f"a message of {size} bytes", before)
+            stop = at + 1 + size
+            if stop > end:
+                break
+            if not self._message(kind, data, at, stop):
+                return self._spoilt(f"message {chr(kind)} out of place or malformed", before)
+            at = stop
+        self._rest = data[at:]
+        if self.answer is not None:
+            return Progress.ANSWERED
+        return Progress.READY if self.ready else Progress.WAITING
+
+    def _spoilt(self, reason: str, before: Answer | None) -> Progress:
+        """What comes behind a whole answer does not spoil it, but the connection is of no more use."""
+        self.ready, self.reason = False, reason
+        return Progress.ANSWERED if self.answer is not None and before is None else Progress.SPOILT
+
+    def _message(self, kind: int, data: bytes, at: int, stop: int) -> bool:
+        body = at + 5
+        if kind in SKIPPED:
+            return True
+        if kind == 0x53:  # S: ParameterStatus
+            words = data[body:stop].split(b"\0")
+            if len(words) != 3 or words[2]:
+                return False
+            if words[0] == self._report:
+                self._answer.report = words[1]
+            return True
+        if kind == 0x5A:  # Z: ReadyForQuery
+            if stop - body != 1 or data[body] not in b"ITE" or (self._asking and self.answer is None):
+                return False
+            self.ready, self._asking = True, False
+            return True
+        if not self._asking:  # the welcome
+            if kind == 0x52:
+                return data[body:stop] == b"\0\0\0\0"
+            return kind == 0x4B
+        if self.answer is not None:
+            return False
+        if kind == 0x45:  # E
+            fields = error_fields(data[body:stop])
+            if fields is None or "C" not in fields:
+                return False
+            self._answer.code, self._answer.text = fields["C"], fields.get("M", "")
+            self.answer = self._answer
+            return True
+        if not self._row(kind, data, body, stop):
+            return False
+        self._raw.append(data[at:stop])
+        if kind == 0x43:
+            self._answer.raw, self.answer = b"".join(self._raw), self._answer
+        return True
+
+    def _row(self, kind: int, data: bytes, body: int, stop: int) -> bool:
+        """One RowDescription of one column, one DataRow, CommandComplete, in this order."""
+        place = len(self._raw)
+        if kind == 0x54:
+            name = data.find(b"\0", body + 2, stop)
+            one = stop - body >= 21 and COUNT.unpack_from(data, body)[0] == 1
+            return place == 0 and one and name >= 0 and stop - name == 19
+        if kind == 0x44:
+            if place != 1 or stop - body < 6:
+                return False
+            columns, size = CELL.unpack_from(data, body)
+            if columns != 1 or size != stop - body - 6:
+                return False
+            self._answer.value = data[body + 6 : stop]
+            return True
+        tag = data[body:stop]
+        return (
+            kind == 0x43
+            and place == 2
+            and tag.startswith((b"SELECT ", b"INSERT ", b"SHOW"))
+            and tag.find(b"\0") == len(tag) - 1
+        )
--- a/lanelead/protocols/datagrams.py
+++ b/lanelead/protocols/datagrams.py
@@ -15,6 +15,7 @@
 HEAD = Struct(">4sHHI")  # magic with version, sender, length of the payload, count of the sender's datagrams
 MAGIC = b"LLP1"
 TAIL = Struct(">I")
+SHORT = Struct(">H")
 LARGEST = HEAD.size + MESSAGE + TAIL.size
 
 
@@ -46,3 +47,20 @@
     if sender >= relays:
         return "sender"
     return Letter(sender, count, data[HEAD.size : -TAIL.size])
+
+
+def plain(payload: bytes) -> bytes:
+    """For networks that know the sender by its address, and where 256 bytes bound a datagram with all that
+    is in it: the payload and half of its CRC-32."""
+    data = payload + SHORT.pack(zlib.crc32(payload) & 0xFFFF)
+    if len(data) > MESSAGE:
+        raise ValueError(f"{len(data)} bytes, of {MESSAGE} at most")
+    return data
+
+
+def open_plain(data: bytes) -> bytes | None:
+    """The payload, or None where the datagram is not whole."""
+    if not SHORT.size <= len(data) <= MESSAGE:
+        return None
+    payload = data[: -SHORT.size]
+    return payload if SHORT.unpack(data[-SHORT.size :])[0] == zlib.crc32(payload) & 0xFFFF else None
--- a/lanelead/protocols/records.py
+++ b/lanelead/protocols/records.py
@@ -94,11 +94,11 @@
 class Lines:
     """Cuts a stream into lines; raises Malformed at one that is too long."""
 
-    def __init__(self) -> None:
-        self._rest = b""
+    def __init__(self, longest: int = LONGEST) -> None:
+        self._rest, self._longest = b"", longest
 
     def feed(self, data: bytes) -> list[bytes]:
         *lines, self._rest = (self._rest + data).split(b"\n")
-        if len(self._rest) > LONGEST:
-            raise Malformed(f"a line of over {LONGEST} bytes")
+        if len(self._rest) > self._longest:
+            raise Malformed(f"a line of over {self._longest} bytes")
         return [line for line in lines if line.strip()]
--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -12,11 +12,9 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from heapq import heappop, heappush
-from typing import Protocol
+from typing import Any, Protocol
 
 from lanelead.door import Door, pack, unpack
-from lanelead.http.answers import Answer
-from lanelead.http.asks import Ask
 from lanelead.interface import (
     Act,
     BreakOff,
@@ -67,11 +65,12 @@
 
 @dataclass(slots=True, eq=False)
 class Ticket:
-    """A lookup at the door: what was asked, and to whom the answer goes."""
+    """A lookup at the door: what was asked, and to whom the answer goes. What a question and an answer are,
+    the front and the links agree on: HTTP's, or the platform's."""
 
     ident: str
-    ask: Ask
-    reply: Callable[[Ticket, Outcome, Trip | None, Answer | None, Ticks], None]
+    ask: Any
+    reply: Callable[[Ticket, Outcome, Trip | None, Any, Ticks], None]
     lookup: Lookup | None = None
     answered: bool = False
     late: bool = False  # its last trip ran out of time: 504, not 502
@@ -92,7 +91,7 @@
 
     def send(self, trip: Trip, ticket: Ticket) -> None: ...
     def abandon(self, trip: Trip) -> bool:
-        """Waits no longer for a trip; says whether any byte of it may have been written."""
+        """Waits no longer for a trip; says whether it may have run, by what was written of it."""
         ...
 
     def probe(self, unit: Unit) -> None: ...
@@ -140,6 +139,8 @@
         self._unsaid = 0  # votes that were withheld, and that the decisions are to hear of
         self.door = Door(decisions.meet)
         self.places: dict[Unit, Destination] = {}
+        self._gone: dict[Unit, Ticks] = {}  # units that are gone, and until when they are kept in mind
+        self._memory = 2 * max((lane.outer_limit for lane in lanes), default=0)
         self.tickets: dict[Lookup, Ticket] = {}
         self.counts = Counts()
         self._timers: list[tuple[Ticks, int, Lookup | Trip | None]] = []
@@ -151,7 +152,16 @@
 
     # Events
 
-    def take(self, ticket: Ticket, lane: Lane, member: Member | None, key: str | None, left: Ticks) -> None:
+    def take(
+        self,
+        ticket: Ticket,
+        lane: Lane,
+        member: Member | None,
+        key: str | None,
+        left: Ticks,
+        again: bool = False,
+        write: bool = False,
+    ) -> None:
         """A client's lookup; `left` is the time that its client still waits. Its answer comes by
         `ticket.reply`."""
         now = self._now()
@@ -160,7 +170,7 @@
             ticket.answered = True
             ticket.reply(ticket, Outcome.SHED, None, None, self._advice)
             return
-        lookup = Lookup(lane, member, key, now, now + left)
+        lookup = Lookup(lane, member, key, now, now + left, None, again, write)
         ticket.lookup, self.tickets[lookup] = lookup, ticket
         self.counts.taken += 1
         self.decisions.take(lookup)
@@ -177,9 +187,7 @@
         self.decisions.left(ticket.lookup)
         self._carry()
 
-    def ended(
-        self, trip: Trip, fate: Fate, answer: Answer | None = None, report: Report | None = None
-    ) -> None:
+    def ended(self, trip: Trip, fate: Fate, answer: Any = None, report: Report | None = None) -> None:
         """How a trip ended. Only the first word on it counts."""
         if trip.fate is not None:
             return
@@ -230,6 +238,20 @@
             listings = self._withhold(coverage, listings)
         self.decisions.roster(coverage, listings)
         self._carry()
+        self._forget()
+
+    def _forget(self) -> None:
+        """Guards against tables that grow for as long as units come and go. A trip may still be out at one
+        that is gone, so it is kept for a while."""
+        now = self.decisions.now
+        for unit in self.places:
+            if unit.condition is Condition.GONE:
+                self._gone.setdefault(unit, now + self._memory)
+            else:
+                self._gone.pop(unit, None)
+        for unit in [unit for unit, until in self._gone.items() if until <= now]:
+            del self._gone[unit], self.places[unit]
+            self.door.forget(unit)
 
     def _withhold(self, coverage: Coverage, listings: list[Listing]) -> list[Listing]:
         """The same, with units of builds that may have no traffic told as draining: they count as not
@@ -356,7 +378,7 @@
         heappush(self._timers, (when, self._number, what))
 
     def _answer(
-        self, ticket: Ticket, outcome: Outcome, trip: Trip | None, answer: Answer | None, come_back: Ticks
+        self, ticket: Ticket, outcome: Outcome, trip: Trip | None, answer: Any, come_back: Ticks
     ) -> None:
         if ticket.answered:  # exactly one final answer, whoever asks for another
             return
@@ -395,7 +417,7 @@
     def _stop(self, trip: Trip, fate: Fate) -> None:
         if trip.fate is not None:
             return
-        if not self._hands.abandon(trip):  # no byte was written: it never ran
+        if not self._hands.abandon(trip):  # too little was written: it never ran
             fate = Fate.UNREACHABLE if fate is Fate.TIMED_OUT else fate
         ticket = self.tickets.get(trip.lookup)
         if ticket is not None:
