--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -323,9 +323,10 @@
     def _make_room(self) -> bool:
         """Ends the connection that is missed least: one that has not begun, else the longest idle."""
         now = self.loop.time()
-        silent = [c for c in self.clients if not c.asked and c.quiet and now - c.began > YOUNG]
+        silent = [c for c in self.clients if not c.asked and c.quiet]
         least = min(silent, key=lambda c: c.began, default=None)
-        if least is None:
+        # One that came just now may be about to ask; but a crowd of them must not push out those who do.
+        if least is None or (now - least.began < YOUNG and 2 * len(silent) < len(self.clients)):
             idle = [c for c in self.clients if c.asked and c.quiet and not c.reader.inside]
             least = min(idle, key=lambda c: c.moved, default=None)
         if least is None:
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -102,6 +102,10 @@
         self.driver.news(config.platform.news.line(), False, Fate.DONE)
         self._discovery = self._discover(config)
         self._desk = self._open_desk(config)
+        told = ("instances", "familyInfo", "contract", "allowed", "requestClasses")
+        self._log.info(
+            "told", **{name: config.settings.get(name) for name in told}, limits=str(config.limits)
+        )
 
     def _discover(self, config: Config) -> Discovery:
         return Discovery(
@@ -124,9 +128,9 @@
     # Running
 
     async def run(self, config: Config) -> None:
-        self._loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self._loop.add_signal_handler(signal.SIGINT, self.stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         gc.callbacks.append(self._collected)
         self._watch = self._task(self._discovery.run())
         self._desk_task = self._task(self._desk.run())
@@ -154,6 +158,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._log.info("stopped", **self.state())
 
+    def stop(self) -> None:
+        """Begins to drain; `run` returns when that is done."""
+        self._stop.set()
+
     def _task(self, what: Any) -> asyncio.Task[Any]:
         task = self._loop.create_task(what)
         self._tasks[task] = None
@@ -231,7 +239,7 @@
 
     # Signals
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """SIGHUP: discovery and the desk move, once the new file can be read; all else stays."""
         try:
             config = configuration.load(self._path)
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import socket
-import time
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
@@ -18,12 +17,12 @@
 from lanelead.relay.driver import VERDICTS, WORDS, Driver, Ticket
 from lanelead.relay.gate import Gate
 from lanelead.relay.links import Links
+from lanelead.relay.timing import Clock
 from lanelead.rules import Relay
 from lanelead.settings import records
 from lanelead.steps.join import Readiness
 from lanelead.zones import ANYWHERE
 
-EPOCH: Ticks = 36_000_000  # the clock at the start: an hour, so that units older than the relay have a past
 Seam = Callable[[Decisions], Decisions]  # for tests only: takes a guard out, from outside the decisions
 
 
@@ -32,13 +31,12 @@
         self._settings, self._log = settings, log.bind(relay=settings.number)
         self._seam = seam
         self._loop = asyncio.get_running_loop()
-        self._began = time.monotonic()  # finer than the loop's clock, which goes by milliseconds
         self._chance = Random(f"feeds {settings.seed} {settings.number}")
         self._stop = asyncio.Event()
         self._tasks: dict[asyncio.Task[Any], None] = {}
         self._feeds: dict[str, asyncio.Task[None]] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at: Ticks = 0
+        self._clock = Clock(self._loop, lambda: self.driver.due(), self._tick)
+        self.clock = self._clock.now
         self._sent = 0
         self._offset: Ticks | None = None
         self._known: set[int] = set()
@@ -50,9 +48,6 @@
         self.driver: Driver
         self.gate: Gate
 
-    def clock(self) -> Ticks:
-        return EPOCH + int((time.monotonic() - self._began) * 10_000)
-
     def _build(self) -> None:
         settings, service = self._settings, self._settings.service
         allowance = service.allowance
@@ -169,22 +164,11 @@
         if not task.cancelled() and (fault := task.exception()) is not None:
             self._log.error("a task failed", exc_info=fault)
 
-    def _arm(self) -> None:
-        """Sets the one timer of the loop to the driver's next."""
-        due = self.driver.due()
-        if due is None or (self._timer is not None and self._timer_at <= due):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = due
-        wait = max(0.0, (due - self.clock()) / 10_000)
-        self._timer = self._loop.call_later(wait + 5e-4, self._tick)  # the loop rounds to milliseconds
-
     def _after(self) -> None:
         """To be called when the driver has been told something: sets out trips and writes answers, each in a
         task of its own. Guards against one that stalls, a client that reads nothing or a unit that takes a
         large body slowly, holding up whoever made it ready: a connection that others already use again."""
-        self._arm()
+        self._clock.arm()
         trips, ready = self._links.waiting, self.gate.ready
         if trips:
             self._links.waiting = []
@@ -197,7 +181,6 @@
                 self._task(connection.flush())
 
     def _tick(self) -> None:
-        self._timer = None
         self.driver.tick()
         self._after()
 
