A build that slows all units goes back in the first stage that has a third of them

Delays of the process (1 ms), spoilt answers (none) and reloads (trips as before and after) were ruled out by the logs. At fault: rules.py, `_creeping` looked from stage 2 on, which has 60% where there are four stages, but is the last of the platform's three. It now goes by the stage's share: a third or more; the same with four stages.

Also `_tick`: 'on' is voted right when it falls due, not up to a beat of 0.2 s later.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -352,7 +352,7 @@
         self._journeys, self._resume = dict[Lookup, Journey](), dict[Lookup, Ticks]()
         self._asking: dict[Lookup, None] = {}  # those that wait for a probe
         self._rate, self._copies, self._trips, self._done, self._shed = (Fading(4 * SECOND) for _ in range(5))
-        self._margin, self._stage, self._told, self._doubt = 0.0, (-1, 0), 0, 0
+        self._margin, self._stage, self._told, self._doubt, self._due = 0.0, (-1, 0), 0, 0, 0
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
         self.acts += [Wake(now + int(self._beat * chance.uniform(0.5, 1)), None)]
@@ -416,8 +416,7 @@
             self._count(mine(seen.unit), seen.lane, faults, seen.outcomes, self._circle.passes_on(peer))
 
     def _count(self, server: Server, lane: Lane, faults: dict[Fault, int], outcomes: int, tell: bool) -> None:
-        # One relay sees too few, so they are told; those at earlier servers too, which judged on less
-        # evidence would hide a trouble of both builds.
+        # One relay sees too few, so they are told; earlier servers' too, or a trouble of both would hide.
         self._spill.note(server, outcomes, sum(n for f, n in faults.items() if f not in HARD), self.now)
         if self._spill.troubled(server):
             faults = {fault: many for fault, many in faults.items() if fault in HARD}
@@ -451,7 +450,8 @@
             self.acts.append(Close(server))
 
     def _tick(self) -> None:
-        self.acts.append(Wake(self.now + self._beat, None))
+        # Also right when 'on' falls due: guards against beats that add up to a release that comes too late.
+        self.acts.append(Wake(min(at for at in (self._due, self.now + self._beat) if at > self.now), None))
         if told := [*self._untold.values()]:
             self.acts += [Tell(peer, told) for peer in self._circle.listeners()]
             self._untold.clear()
@@ -465,12 +465,12 @@
         # Machines listed late start the clock late; while most are set aside, nothing is learnt.
         wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
-        shut_out = 2 * sum(server.aside > self.now for server in new) >= len(new)
+        shut = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
-        settled = self.now - max(self._told, self._doubt, *(server.since for server in new)) >= wait
+        self._due = max(self._told, self._doubt, *(server.since for server in new)) + wait
         # Guards against thin views that release what others doubt; where most must agree, watchers send back.
-        knows = self._poll.on_votes > self._circle.watchers or self._scoring.seen >= 10
-        ripe = settled and knows and not shut_out and (all_here or self.now - self._told >= 3 * wait)
+        seen = self._poll.on_votes > self._circle.watchers or self._scoring.seen >= 10
+        ripe = self.now >= self._due and seen and not shut and (all_here or self.now > self._told + 3 * wait)
         verdict = self._ballot.verdict(news, ripe, self._margin, lately, self._creeping(news))
         if verdict and self._ballot.cast(vote := Vote(news.build, news.stage, verdict), self.now):
             self.acts += [vote, Note(f"{verdict.name} on build {news.build}: margin {self._margin:.1f}")]
@@ -478,9 +478,9 @@
     def _creeping(self, news: News) -> bool:
         """Have most units grown slower since stage 1 than up to it, or far slower right at the release, but
         not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
-        released, age = news.phase is Phase.RELEASED, self.now - self._told
-        busier = self._trips.read(self.now) > 1.3 * self._calm_rate
-        if news.stage < 2 or len(self._calm) <= news.stage or busier or (released and age > 10 * SECOND):
+        released, busier = news.phase is Phase.RELEASED, self._trips.read(self.now) > 1.3 * self._calm_rate
+        few = self._trial.shares[news.stage] < 1 / 3 or len(self._calm) <= max(1, news.stage)
+        if few or busier or (released and self.now - self._told > 10 * SECOND):
             return False
         (slow, many), before, first = self._scoring.slowness(self.now), self._calm[0], self._calm[1]
         slow += int(many * self._shed.read(self.now) / max(100, self._rate.read(self.now)))  # would have been
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -162,7 +162,7 @@
         host.relay._scoring.record(mine(unit), PURE, {}, host.relay.now, 10)
         host.run(5 * SECOND - 1)
         self.assertEqual(host.votes(), [])
-        host.run(SECOND)
+        host.run(1)  # not at the next beat: late votes add up over the stages
         self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.ON])
         host.news(2, 0, Phase.TRIAL, 0.1, answer=True, word=Fate.TIMED_OUT)
         host.run(2 * SECOND)
@@ -236,6 +236,23 @@
             told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
             self.assertEqual(host.relay._creeping(told), verdict is Verdict.BACK)
 
+    def test_it_goes_back_in_the_first_stage_that_has_a_third_of_the_units(self) -> None:
+        # wide on sockets: three stages, of which the second has most units, and it was left to the third.
+        for first, last, slows in ((0, 60, True), (0, 5, False), (40, 45, False)):
+            host = FakeHost(now=20 * SECOND)
+            for stage in (0, 1):
+                for unit in host.units:
+                    host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: first}, host.relay.now, 100)
+                host.relay._calm_rate = 1.0
+                host.news(2, stage, Phase.TRIAL, 0.1)
+                host.run(20 * SECOND)
+            host.relay._calm_rate = 1000.0
+            for unit in host.units:
+                host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: last}, host.relay.now, 100)
+            for stage in (0, 1):
+                told = News(2, stage, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
+                self.assertEqual(host.relay._creeping(told), slows and stage == 1, (first, last, stage))
+
 
 class Arithmetic(unittest.TestCase):
     def test_z_has_a_floor_of_one_outcome(self) -> None:
