--- a/lanelead/node/desk.py
+++ b/lanelead/node/desk.py
@@ -75,6 +75,9 @@
             except (OSError, Malformed, TimeoutError) as fault:
                 if self.up:
                     self._log.warning("feed down", feed="desk", reason=str(fault) or "silent")
+            except Exception:
+                # Guards against a fault of ours on one line that would leave the relay without news for good.
+                self._log.exception("the desk's connection failed")
             self.up = False
             for timer in self._votes.values():
                 timer.cancel()
--- a/lanelead/node/feeds.py
+++ b/lanelead/node/feeds.py
@@ -50,11 +50,19 @@
             except (Failed, Malformed, TimeoutError) as fault:
                 if self.up:
                     self._log.warning("feed down", feed="discovery", reason=str(fault) or "silent")
-                self.up, self._whole = False, True
-                await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
+                await self._pause()
                 continue
             if not self.up:
                 self._log.info("feed up", feed="discovery", version=found.version, units=len(found.servers))
             self.up, self._whole, self._version = True, False, found.version
-            if found.full or found.servers:
-                self._heard(told)
+            try:
+                if found.full or found.servers:
+                    self._heard(told)
+            except Exception:
+                # Guards against a fault of ours on one list that would leave the relay without any for good.
+                self._log.exception("a list could not be taken in")
+                await self._pause()
+
+    async def _pause(self) -> None:
+        self.up, self._whole = False, True
+        await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -318,6 +318,22 @@
             place.desks[0].write(told({**news, "phase": "recalling", "cap": 0.0}))
             await place.until(lambda: exposure.news.cap == 0.0)
 
+    @live
+    async def test_a_fault_of_ours_on_one_line_or_list_ends_no_feed(self) -> None:
+        async with platform(Unit("u0"), Unit("u1")) as place:
+            await place.until(lambda: place.relay.state()["desk"])
+            driver, faults = place.relay.driver, [ValueError("ours")] * 2
+            with (
+                mock.patch.object(driver, "news", mock.Mock(side_effect=faults.pop())),
+                mock.patch.object(driver, "listed", mock.Mock(side_effect=faults.pop())),
+            ):
+                place.desks[0].write(told(NEWS))
+                place.turn(place.units[1], "leaving")
+                await place.until(lambda: place.said("the desk's connection failed") > 0)
+                await place.until(lambda: place.said("a list could not be taken in") > 0)
+            await place.until(lambda: place.relay.state()["desk"] and place.relay.state()["discovery"])
+            await place.until(lambda: driver.door.units["u1"].condition.value == "draining")
+
     @live
     async def test_letters_keep_their_length_and_strangers_are_dropped(self) -> None:
         for size in range(255):
