An answer that waits unread in the relay is not taken for one that stopped

It now looks at the socket first, as the check before a question does; both use `still`. The test fails without it.

--- a/lanelead/node/links.py
+++ b/lanelead/node/links.py
@@ -44,6 +44,17 @@
     return found or None
 
 
+def still(sock: socket.socket) -> bool:
+    """Nothing waits to be read, nor has the other end gone."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        pass
+    return False
+
+
 class Link:
     """One connection to a unit."""
 
@@ -266,12 +277,8 @@
         """The connection used last that is still of use: nothing unasked has come on it, nor its end."""
         while pool.idle:
             link = pool.idle.pop()
-            try:
-                link.sock.recv(1, socket.MSG_PEEK)
-            except (BlockingIOError, InterruptedError):
+            if still(link.sock):
                 return link
-            except OSError:
-                pass
             self._end(link)
         return None
 
@@ -360,7 +367,8 @@
         # Guards against a unit that says a length and sends less: the trip would wait for its whole time.
         stalled = [link for link in self.links if link.connected and link.trip and link.reader.began]
         for link in stalled:
-            if link.since < now - self._connect_limit:
+            # What waits to be read was the relay's own delay, and is no fault of the unit's.
+            if link.since < now - self._connect_limit and still(link.sock):
                 self.spoilt += 1
                 self._log.info("spoilt answer", reason="it stopped in the middle")
                 self._broken(link, "stalled")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -181,6 +181,21 @@
             self.assertEqual((await client.ask("1a", "file", left=1400))["C"], b"58000")
             self.assertEqual(place.relay.driver.counts.fates, {Fate.CUT: 1})
 
+    @live
+    async def test_an_answer_that_waits_unread_has_not_stopped(self) -> None:
+        whole = row(b"value") + READY
+        async with platform(says(whole[:30])) as place:
+            client = await place.client()
+            client.send("1a")
+            links = place.relay.links
+            await place.until(lambda: any(link.reader.began for link in links.links if link.connected))
+            # The rest comes, and the relay, held up meanwhile, looks for stopped answers before it reads.
+            os.write(place.units[0].writers[0].get_extra_info("socket").fileno(), whole[30:])
+            for link in links.links:
+                link.since -= 10
+            links.sweep()
+            self.assertTrue((await client.answer())["D"].endswith(b"value"))
+
     @live
     async def test_a_second_copy_is_never_the_next_lookups_value(self) -> None:
         for behind in (row(b"old") + READY, b"\0noise"):
