Stories of load reports, probes, and a unit that comes back with another build

Cases of the platform's relay that had no test yet: a report that can't be read is none, what a probe's answers, noise and silence come to, and pools that belong to one life of a unit.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
 
 from lanelead.interface import Fate, Verdict, Vote
 from lanelead.node import front
+from lanelead.node.links import report_of
 from lanelead.pgwire import messages
 from lanelead.pgwire.messages import READY
 from lanelead.protocols import datagrams
@@ -215,6 +216,45 @@
             self.assertEqual(place.units[0].connections, 2)
 
 
+class Health(unittest.TestCase):
+    def test_a_report_that_cannot_be_read_is_none(self) -> None:
+        names = frozenset(("waiting", "cpu"))
+        self.assertEqual(report_of(b"waiting=7,cpu=0.5,new=1", names), {"waiting": 7.0, "cpu": 0.5})
+        for text in (None, b"", b"\xff\xfe", b"waiting", b"waiting=x", b"waiting=nan", b"waiting=-1", b"a=1"):
+            self.assertIsNone(report_of(text, names), text)
+        self.assertIsNone(report_of(b"waiting=7", frozenset()))
+
+    @live
+    async def test_what_a_probe_tells(self) -> None:
+        for answer, fate, report in (
+            (row(b"waiting=3,cpu=0.5") + READY, Fate.DONE, {"waiting": 3.0, "cpu": 0.5}),
+            (messages.error("57P03", "not now") + READY, Fate.ERROR, None),
+            (b"\0noise", Fate.CUT, None),
+            (b"", Fate.TIMED_OUT, None),
+        ):
+            async with platform(says(answer)) as place:
+                driver, heard = place.relay.driver, mock.Mock()
+                with mock.patch.object(driver, "probed", heard):
+                    place.relay.probe(driver.door.units["u0"])
+                    await place.until(lambda heard=heard: heard.called)  # type: ignore[misc]
+                self.assertEqual((heard.call_args.args[1], heard.call_args.args[3]), (fate, report))
+                self.assertEqual(place.units[0].queries, [b"SHOW vitals"])
+
+    @live
+    async def test_a_unit_that_comes_back_with_another_build_gets_connections_of_its_own(self) -> None:
+        async with platform(Unit("u0")) as place:
+            client = await place.client()
+            await client.ask("1a")
+            await client.ask("2a")
+            self.assertEqual(place.units[0].connections, 1)
+            found = json.loads(place.list_of(place.units, full=False))
+            found["servers"][0]["revision_no"] = 2
+            place.relay._listed(listed(decode(json.dumps(found).encode(), Endpoints)))
+            self.assertIn("D", await client.ask("3a"))
+            self.assertEqual(place.units[0].connections, 2)
+            await place.until(lambda: place.units[0].ended == 1)
+
+
 class Rude(unittest.TestCase):
     @live
     async def test_each_gets_an_error_or_an_end_and_no_trip(self) -> None:
