Relays tell each other what they have out, where probes would be dear

So by the tariff: where a choice's four probes cost over a tenth of a lookup, each relay tells the four hubs what it has out, every beat, and the hubs tell all in turns what all have out; two random choices are compared by that. The roster's table moved to server.py: it decides nothing.

--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -24,7 +24,6 @@
     Probe,
     Send,
     Shed,
-    Sighting,
     Tally,
     Tell,
     Ticks,
@@ -32,6 +31,7 @@
     Vote,
     Wake,
     Watch,
+    Word,
 )
 from lanelead.opening import Malformed, Opening, known, number, ticks, whole
 from lanelead.rules import Relay
@@ -146,8 +146,8 @@
             self.touched.append(lookup)
 
     def heard(self, words: Words) -> None:
-        sightings = unpack(wire.octets(words[2]), self.door.marks, [*self.lanes.values()])
-        self.relay.heard(whole(words[1]), sightings)
+        said = unpack(wire.octets(words[2]), self.door.marks, [*self.lanes.values()])
+        self.relay.heard(whole(words[1]), said)
 
     def bad_answer(self, words: Words) -> None:
         lane = known(self.lanes, words[2])
@@ -200,7 +200,7 @@
     def drain(self, lines: list[str]) -> None:
         """Writes down what the decisions want done, in order."""
         acts = self.relay.acts
-        told: Sequence[Sighting] = ()  # many peers are told the same
+        told: Sequence[Word] = ()  # many peers are told the same
         texts: list[str] = []
         for act in acts:
             match act:
@@ -225,10 +225,10 @@
                     lines.append(f"SAMPLE {self.door.names[unit]}")
                 case Close(unit):
                     lines.append(f"FREE_LINKS {self.door.names[unit]}")
-                case Tell(peer, sightings):
-                    if sightings is not told:
-                        texts = [text.hex() for text in pack(sightings, [*self.lanes.values()])]
-                        told = sightings
+                case Tell(peer, words):
+                    if words is not told:
+                        texts = [text.hex() for text in pack(words, [*self.lanes.values()])]
+                        told = words
                     lines += [f"WRITE_PEER {-1 if peer is None else peer} {text}" for text in texts]
                 case Vote(build, stage, verdict):
                     lines.append(f"SAY_SO {build} {verdict.value} {stage}")
--- a/lanelead/door.py
+++ b/lanelead/door.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from struct import Struct
 
-from lanelead.interface import Condition, Lane, Sighting, Unit
+from lanelead.interface import Condition, Lane, Load, Sighting, Unit, Word
 
 KINDS = 5  # kinds of fault in a sighting
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
+LOAD = Struct(">HB")  # a load: unit mark, trips out
 MESSAGE = 256  # the most bytes of one message between relays
 
 
@@ -41,30 +42,47 @@
             del self.marks[unit.mark]
 
 
-def pack(sightings: Sequence[Sighting], lanes: Sequence[Lane]) -> list[bytes]:
-    """Sightings as messages of the allowed length."""
+def pack(words: Sequence[Word], lanes: Sequence[Lane]) -> list[bytes]:
+    """Sightings and loads as messages of the allowed length: the number of sightings, then their rows, then
+    loads. The loads go whole into one message, since they say what is out and that there is no more: of more
+    than fit, those that come first."""
     rows = [
         ROW.pack(
-            seen.unit.mark,
-            seen.build,
-            lanes.index(seen.lane),
-            min(seen.outcomes, 255),
-            *(min(many, 255) for many in seen.faults),
+            word.unit.mark,
+            word.build,
+            lanes.index(word.lane),
+            min(word.outcomes, 255),
+            *(min(many, 255) for many in word.faults),
         )
-        for seen in sightings
+        for word in words
+        if isinstance(word, Sighting)
     ]
-    step = MESSAGE // ROW.size
-    return [b"".join(rows[place : place + step]) for place in range(0, len(rows), step)]
+    loads = [LOAD.pack(word.unit.mark, min(word.trips, 255)) for word in words if isinstance(word, Load)]
+    step, most = (MESSAGE - 3) // ROW.size, (MESSAGE - 3) // LOAD.size
+    texts = [rows[place : place + step] for place in range(0, len(rows), step)]
+    parts = [bytes([len(some)]) + b"".join(some) for some in texts]
+    if loads:
+        tail = b"".join(loads[:most])
+        if parts and len(parts[-1]) + len(tail) <= MESSAGE - 2:
+            parts[-1] += tail
+        else:
+            parts.append(bytes([0]) + tail)
+    return parts
 
 
-def unpack(text: bytes, units: Mapping[int, Unit], lanes: Sequence[Lane]) -> list[Sighting]:
-    """The sightings in a message; rows of units, builds or lanes unknown to this relay are passed over."""
-    rows = ROW.iter_unpack(text[: len(text) // ROW.size * ROW.size])
-    return [
+def unpack(text: bytes, units: Mapping[int, Unit], lanes: Sequence[Lane]) -> list[Word]:
+    """What a message says; rows of units, builds or lanes unknown to this relay are passed over."""
+    end = 1 + text[0] * ROW.size if text else 0
+    if not text or end > len(text):
+        return []
+    words: list[Word] = [
         Sighting(unit, lanes[lane], build, outcomes, faults)
-        for mark, build, lane, outcomes, *faults in rows
+        for mark, build, lane, outcomes, *faults in ROW.iter_unpack(text[1:end])
         if (unit := units.get(mark))
         and unit.build == build
         and lane < len(lanes)
         and unit.condition is Condition.READY
     ]
+    rest = text[end : len(text) - (len(text) - end) % LOAD.size]
+    loads = (Load(unit, trips) for mark, trips in LOAD.iter_unpack(rest) if (unit := units.get(mark)))
+    return [*words, *loads]
--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -292,6 +292,17 @@
     faults: list[int]
 
 
+@dataclass(slots=True, frozen=True)
+class Load:
+    """Trips out at a unit: those of the relay that tells, or of all relays."""
+
+    unit: Unit
+    trips: int
+
+
+Word = Sighting | Load  # what relays tell each other
+
+
 # Acts
 
 
@@ -337,7 +348,7 @@
 @dataclass(slots=True, frozen=True)
 class Tell:
     peer: int | None  # none: all of them
-    sightings: Sequence[Sighting]
+    words: Sequence[Word]
 
 
 @dataclass(slots=True, frozen=True)
@@ -380,7 +391,7 @@
     def left(self, lookup: Lookup) -> None: ...
     def wake(self, lookup: Lookup | None) -> None: ...
     def news(self, news: News) -> None: ...
-    def heard(self, peer: int, sightings: Sequence[Sighting]) -> None: ...
+    def heard(self, peer: int, words: Sequence[Word]) -> None: ...
     def complaint(self, unit: Unit, lane: Lane, age: Ticks) -> None: ...
     def tally(self, counted: Tally) -> None: ...
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None: ...
--- a/lanelead/model/world.py
+++ b/lanelead/model/world.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
@@ -28,6 +28,7 @@
     Fate,
     Lane,
     Listing,
+    Load,
     Lookup,
     News,
     Phase,
@@ -38,6 +39,7 @@
     Scope,
     Send,
     Shed,
+    Sighting,
     Tariff,
     Tell,
     Ticks,
@@ -45,6 +47,7 @@
     Trip,
     Unit,
     Wake,
+    Word,
 )
 from lanelead.rules import Relay
 
@@ -148,8 +151,8 @@
                     case CallOff(trip):
                         if self.out.pop(trip, None) is not None:
                             world.at(world.now, lambda trip=trip: self.ended(trip, Fate.CALLED_OFF))  # type: ignore[misc]
-                    case Tell(peer, sightings):
-                        world.tell(self, peer, sightings)
+                    case Tell(peer, words):
+                        world.tell(self, peer, words)
 
     def wake(self, lookup: Lookup | None) -> None:
         self.relay.now = self.world.now
@@ -376,20 +379,21 @@
 
             self.at(self.now + delay, tell)
 
-    def tell(self, host: Host, peer: int | None, sightings: Any) -> None:
+    def tell(self, host: Host, peer: int | None, words: Sequence[Word]) -> None:
         for other in self.hosts:
             if other is host or (peer is not None and other.number != peer) or self._net.random() < 0.02:
                 continue
-            self.at(self.now + 50, lambda other=other: self._heard(other, host, sightings))  # type: ignore[misc]
-
-    def _heard(self, other: Host, host: Host, sightings: Any) -> None:
-        from lanelead.interface import Sighting
-
-        theirs = [
-            Sighting(other.units[machine], seen.lane, seen.build, seen.outcomes, list(seen.faults))
-            for seen in sightings
-            if (machine := host.machines.get(seen.unit)) in other.units
-        ]
+            self.at(self.now + 50, lambda other=other: self._heard(other, host, words))  # type: ignore[misc]
+
+    def _heard(self, other: Host, host: Host, words: Sequence[Word]) -> None:
+        theirs = list[Word]()
+        for word in words:
+            if (machine := host.machines.get(word.unit)) in other.units:
+                unit = other.units[machine]
+                if isinstance(word, Load):
+                    theirs.append(Load(unit, word.trips))
+                else:
+                    theirs.append(Sighting(unit, word.lane, word.build, word.outcomes, list(word.faults)))
         other.relay.now = self.now
         other.relay.heard(host.number, theirs)
         other.carry()
--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -37,7 +37,6 @@
     Report,
     Send,
     Shed,
-    Sighting,
     Tell,
     Ticks,
     Trip,
@@ -46,6 +45,7 @@
     Vote,
     Wake,
     Watch,
+    Word,
 )
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.protocols.steps import Page
@@ -145,6 +145,8 @@
         self.counts = Counts()
         self._timers: list[tuple[Ticks, int, Lookup | Trip | None]] = []
         self._number = 0
+        self._said: Sequence[Word] = ()
+        self._texts: list[bytes] = []
         self._soon: deque[tuple[Trip, Fate]] = deque()
         self._listed = False
         self._carrying = False
@@ -462,8 +464,8 @@
                 self._hands.probe(unit)
             case Close(unit):
                 self._hands.close(unit)
-            case Tell(peer, sightings):
-                self._tell(peer, sightings)
+            case Tell(peer, words):
+                self._tell(peer, words)
             case Vote():
                 self._vote(act)
             case Watch(on):
@@ -482,8 +484,10 @@
         else:
             self._hands.vote(vote)
 
-    def _tell(self, peer: int | None, sightings: Sequence[Sighting]) -> None:
-        self._hands.tell(peer, pack(sightings, self._order))
+    def _tell(self, peer: int | None, words: Sequence[Word]) -> None:
+        if words is not self._said:  # many peers are told the same
+            self._said, self._texts = words, pack(words, self._order)
+        self._hands.tell(peer, self._texts)
 
 
 VERDICTS = {verdict: verdict.name.lower() for verdict in Verdict}
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -15,10 +15,10 @@
 
 from lanelead.interface import (
     Act, Allowance, BreakOff, CallOff, Close, Condition, Control, Coverage, Duties, Fate, Fetch, Lane,
-    Listing, Lookup, Member, News, Note, Phase, Place, Poll, Preference, Probe, Repeat, Report, Scope, Send,
-    Shed, Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch,
+    Listing, Load, Lookup, Member, News, Note, Phase, Place, Poll, Preference, Probe, Repeat, Report, Scope,
+    Send, Shed, Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch, Word,
 )
-from lanelead.server import Server, mine
+from lanelead.server import Outstanding, Roster, Server, mine
 from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed
 from lanelead.zones import ANYWHERE, Pools, Spill
 
@@ -29,26 +29,6 @@
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
 
-class Roster:  # the servers as last listed, and the ready ones: all, and by build, the newest first
-    def __init__(self) -> None:
-        self.known, self.ready, self.groups = dict[Server, None](), list[Server](), dict[int, list[Server]]()
-
-    def apply(self, coverage: Coverage, listings: Iterable[Listing], now: Ticks) -> None:
-        if coverage is not Coverage.CHANGES:
-            for server in self.known:
-                server.condition = Condition.GONE
-        for told in listings:
-            server = mine(told.unit)
-            if server not in self.known or (server.build, server.since) != (told.build, told.since):
-                server.listed, server.aside = told.since if coverage is Coverage.CACHED else now, 0
-            server.update(told)
-            self.known[server] = None
-        self.ready = [server for server in self.known if server.condition is Condition.READY]
-        self.known = {server: None for server in self.known if server.condition is not Condition.GONE}
-        builds = sorted({server.build for server in self.ready}, reverse=True)
-        self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
-
-
 class Exposure:  # what may go to a build on trial: the cap, the guarded stages and the keys that stay
     def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
         self._trial, self._many, self._chance = trial, many, chance
@@ -305,20 +285,27 @@
 
 class Circle:
     """Who tells whom what it saw: in a small circle all tell all; in a large one each tells a hub drawn anew,
-    and the hubs the watchers, as many as can send a build back. Guards against bytes by the square."""
+    and the hubs the watchers, as many as can send a build back. What is out each tells all hubs, and these in
+    turns a part of the others what all have out. Guards against bytes by the square, and lost hubs."""
 
     def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
-        self._number, self._chance = place.number, chance
+        self._number, self._relays, self._chance, self._beats = place.number, place.relays, chance, 0
         self._hubs = place.relays if place.relays <= CIRCLE else CIRCLE // 2
         self.watchers = min(place.relays, max(self._hubs, back_votes * 5 // 4))
+        self.hub = place.number < self._hubs
 
     def passes_on(self, sender: int) -> bool:
-        return self._number < self._hubs <= sender
+        return self.hub and sender >= self._hubs
 
-    def listeners(self) -> list[int]:
-        if self._number >= self._hubs:
-            return [self._chance.randrange(self._hubs)]
-        return [peer for peer in range(self.watchers) if peer != self._number]
+    def letters(self, seen: Sequence[Word], out: Sequence[Word], in_all: Sequence[Word]) -> Iterable[Tell]:
+        both, self._beats = [*seen, *out], self._beats + 1
+        if self.hub:
+            letters = [(peer, both if peer < self._hubs else seen) for peer in range(self.watchers)]
+            letters += [(peer, in_all) for peer in range(self._hubs + self._beats % 4, self._relays, 4)]
+        else:
+            drawn = self._chance.randrange(self._hubs) if seen else -1
+            letters = [(hub, both if hub == drawn else out) for hub in range(self._hubs)]
+        yield from (Tell(peer, said) for peer, said in letters if said and peer != self._number)
 
 
 Journey = Generator[Server | Ticks, Trip | None, None]  # yields a server to try, or until when to wait
@@ -339,6 +326,10 @@
         self._roster, self._ballot = Roster(), Ballot(poll, chance)
         self._circle = Circle(place, poll.back_votes, chance)
         self._many = place.relays > CIRCLE
+        # A choice takes two to four probes: where they cost over a tenth of a lookup, letters tell instead.
+        self._asks = self._many and allowance.probes and 4 * tariff.probe <= 0.1
+        self._tells = self._many and allowance.peers and not self._asks
+        self._out = Outstanding(SECOND)
         self._exposure = Exposure(trial, self._many, chance)
         told = self._many and place.number < self._circle.watchers  # much is told to it: it looks less often
         self._beat = SECOND // (5 if not told else 2 if self._circle.watchers <= CIRCLE else 1)
@@ -410,8 +401,10 @@
         elif not lookup.over and self._resume.get(lookup, self.now + 1) <= self.now:
             self._advance(lookup, None)
 
-    def heard(self, peer: int, sightings: Sequence[Sighting]) -> None:
-        for seen in sightings:
+    def heard(self, peer: int, words: Sequence[Word]) -> None:
+        if loads := [word for word in words if isinstance(word, Load)]:
+            self._out.hear(peer if self._circle.hub else None, loads, self.now)
+        for seen in (word for word in words if isinstance(word, Sighting)):
             faults = {fault: many for fault, many in zip(Fault, seen.faults, strict=True) if many}
             self._count(mine(seen.unit), seen.lane, faults, seen.outcomes, self._circle.passes_on(peer))
 
@@ -452,10 +445,11 @@
     def _tick(self) -> None:
         # Also right when 'on' falls due: guards against beats that add up to a release that comes too late.
         self.acts.append(Wake(min(at for at in (self._due, self.now + self._beat) if at > self.now), None))
-        if told := [*self._untold.values()]:
-            self.acts += [Tell(peer, told) for peer in self._circle.listeners()]
-            self._untold.clear()
         news, ready = self._exposure.news, self._roster.ready
+        out = [Load(server, len(server.out)) for server in ready if server.out and self._tells]
+        in_all = self._out.add(self.now) if self._circle.hub else []
+        self.acts += self._circle.letters([*self._untold.values()], out, in_all)
+        self._untold.clear()
         trial = news is not None and news.phase is Phase.TRIAL
         self._spill.beat(ready, self._rate.read(self.now), trial, self.now)
         if news is None or not (new := self._roster.groups.get(news.build)):
@@ -528,7 +522,8 @@
 
     def _cost(self, server: Server) -> float:  # the wait to expect there, as a rank
         now, trips = self.now, server.trips.read(self.now)
-        load = (1 + len(server.out)) * (1 + server.pace.read(now)) / (1 + trips) / server.size
+        load = (1 + len(server.out) + self._out.at(server, now)) / server.size
+        load *= (1 + server.pace.read(now)) / (1 + trips)
         # A unit that has gone silent answers nothing at all: its oldest trip tells.
         oldest = next(iter(server.out), None)
         silent = (now - oldest.sent) / oldest.lookup.lane.expected_time if oldest else 0.0
@@ -617,7 +612,7 @@
 
     def _thin(self) -> bool:  # one of many, with less than a lookup for each server in an expected time
         few = self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
-        return few and self._many and self._allowance.probes
+        return few and self._asks
 
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
         for table in (self._resume, self._waiting, self._asking):
--- a/lanelead/server.py
+++ b/lanelead/server.py
@@ -1,10 +1,11 @@
-"""A unit as one relay knows it: what the roster says, and what trips and probes showed. Nothing decides."""
+"""Units as one relay knows them: from the roster, from trips and probes, and from peers. Nothing decides."""
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
-from lanelead.interface import Ticks, Trip, Unit
+from lanelead.interface import Condition, Coverage, Listing, Load, Ticks, Trip, Unit
 from lanelead.sums import Fading
 
 
@@ -22,3 +23,57 @@
 def mine(unit: Unit) -> Server:
     assert isinstance(unit, Server)
     return unit
+
+
+class Roster:
+    """The servers as last listed, and the ready ones: all, and by build, the newest first."""
+
+    def __init__(self) -> None:
+        self.known, self.ready, self.groups = dict[Server, None](), list[Server](), dict[int, list[Server]]()
+
+    def apply(self, coverage: Coverage, listings: Iterable[Listing], now: Ticks) -> None:
+        if coverage is not Coverage.CHANGES:
+            for server in self.known:
+                server.condition = Condition.GONE
+        for told in listings:
+            server = mine(told.unit)
+            if server not in self.known or (server.build, server.since) != (told.build, told.since):
+                server.listed, server.aside = told.since if coverage is Coverage.CACHED else now, 0
+            server.update(told)
+            self.known[server] = None
+        self.ready = [server for server in self.known if server.condition is Condition.READY]
+        self.known = {server: None for server in self.known if server.condition is not Condition.GONE}
+        builds = sorted({server.build for server in self.ready}, reverse=True)
+        self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
+
+
+class Outstanding:
+    """Trips that the other relays have out at each unit: each told its own, or one told of all."""
+
+    def __init__(self, span: Ticks) -> None:
+        self._span = span  # what is older than this is not known any more
+        self._told = dict[int, tuple[Ticks, list[Load]]]()
+        self._others, self._at = dict[Server, int](), -span
+
+    def hear(self, peer: int | None, loads: list[Load], now: Ticks) -> None:
+        """All that a peer has out itself; none: all that all have out, this relay's trips among them."""
+        if peer is not None:
+            self._told[peer] = now, loads
+        else:
+            self._at, rows = now, ((mine(load.unit), load.trips) for load in loads)
+            self._others = {server: trips - len(server.out) for server, trips in rows}
+
+    def add(self, now: Ticks) -> list[Load]:
+        """Adds up what the peers told, and gives what all relays have out, most first."""
+        self._told = {peer: told for peer, told in self._told.items() if told[0] > now - self._span}
+        self._at, self._others = now, {}
+        for _, loads in self._told.values():
+            for load in loads:
+                server = mine(load.unit)
+                self._others[server] = self._others.get(server, 0) + load.trips
+        every = [Load(server, trips + len(server.out)) for server, trips in self._others.items()]
+        return sorted(every, key=lambda load: -load.trips)
+
+    def at(self, server: Server, now: Ticks) -> int:
+        """The others' trips there, 0 where nothing is known."""
+        return max(0, self._others.get(server, 0)) if self._at > now - self._span else 0
--- /dev/null
+++ b/tests/test_outstanding.py
@@ -0,0 +1,116 @@
+"""Letters of trips that are out: what a relay knows of the others' load where probes are dear."""
+
+from __future__ import annotations
+
+import unittest
+
+from lanelead.door import MESSAGE, Door, pack, unpack
+from lanelead.interface import Condition, Load, Probe, Sighting, Tell, Unit, Word
+from lanelead.server import Outstanding, Server
+from tests.fake import PURE, SECOND, FakeHost
+
+DEAR = 0.08
+
+
+def told(host: FakeHost) -> list[Tell]:
+    host.acts.clear()
+    host.run(SECOND // 2)
+    return [act for act in host.acts if isinstance(act, Tell)]
+
+
+class Choices(unittest.TestCase):
+    def test_where_probes_are_dear_none_is_sent_and_the_unit_with_least_out_is_taken(self) -> None:
+        host = FakeHost(units=2, probes=True, relays=100, number=50, probe_price=DEAR)
+        for _ in range(6):
+            host.relay.heard(0, [Load(host.units[0], 4)])
+            self.assertIs(host.sent(host.ask())[0].unit, host.units[1])
+            host.end(host.sent()[-1])
+        self.assertFalse([act for act in host.acts if isinstance(act, Probe)])
+
+    def test_cheap_probes_are_sent_and_nothing_is_told(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=50, probe_price=0.01)
+        host.ask()
+        self.assertTrue([act for act in host.acts if isinstance(act, Probe)])
+        self.assertEqual([], told(host))
+
+    def test_what_was_told_long_ago_is_not_known_any_more(self) -> None:
+        host = FakeHost(units=2, probes=True, relays=100, number=50, probe_price=DEAR)
+        host.relay.heard(0, [Load(host.units[0], 200)])
+        host.run(2 * SECOND)
+        went = set[Unit]()
+        for _ in range(30):
+            lookup = host.ask()
+            went.add(host.sent(lookup)[0].unit)
+            host.end(host.sent(lookup)[0])
+        self.assertIn(host.units[0], went)
+
+
+class Circles(unittest.TestCase):
+    def test_a_relay_tells_every_hub_what_it_has_out_and_a_lost_hub_costs_no_other_its_word(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=50, probe_price=DEAR)
+        trip = host.sent(host.ask())[0]
+        tells = told(host)
+        self.assertEqual({0, 1, 2, 3}, {tell.peer for tell in tells})
+        self.assertTrue(all(tell.words == [Load(trip.unit, 1)] for tell in tells))
+
+    def test_a_hub_adds_up_and_tells_each_relay_in_its_turn(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=0, probe_price=DEAR)
+        busy, other = host.units[:2]
+        reached = set[int | None]()
+        for _ in range(4):
+            host.relay.heard(40, [Load(busy, 2)])
+            host.relay.heard(41, [Load(busy, 1), Load(other, 1)])
+            for tell in told(host):
+                reached.add(tell.peer)
+                self.assertEqual([Load(busy, 3), Load(other, 1)], tell.words)
+        self.assertEqual(set(range(4, 100)), reached)
+
+    def test_what_a_dead_relay_had_out_is_forgotten_by_the_hubs(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=0, probe_price=DEAR)
+        host.relay.heard(40, [Load(host.units[0], 9)])
+        told(host)
+        host.run(SECOND)
+        self.assertEqual([], told(host))
+
+    def test_its_own_trips_are_not_counted_twice(self) -> None:
+        units = [Server(mark, SECOND, SECOND, 0.0) for mark in range(2)]
+        known = Outstanding(SECOND)
+        host = FakeHost(units=1)
+        units[0].out[host.sent(host.ask(PURE))[0]] = None
+        known.hear(None, [Load(units[0], 3)], 0)
+        self.assertEqual((2, 0), tuple(known.at(unit, 1) for unit in units))
+
+
+class Letters(unittest.TestCase):
+    def setUp(self) -> None:
+        self.door = Door(lambda mark: Server(mark, SECOND, SECOND, 0.0))
+        self.units = [self.door.unit(f"s-{number}") for number in range(120)]
+        for unit in self.units:
+            unit.build, unit.condition = 7, Condition.READY
+
+    def read(self, texts: list[bytes]) -> list[Word]:
+        return [word for text in texts for word in unpack(text, self.door.marks, [PURE])]
+
+    def test_sightings_and_loads_come_through_whole_and_no_letter_is_too_long(self) -> None:
+        for many in (0, 1, 22, 23, 24, 47):
+            seen = [Sighting(unit, PURE, 7, 3, [0, 1, 0, 0, 2]) for unit in self.units[:many]]
+            words: list[Word] = [*seen, *(Load(unit, 2) for unit in self.units[:30])]
+            texts = pack(words, [PURE])
+            self.assertEqual(words, self.read(texts))
+            self.assertLessEqual(max(map(len, texts)), MESSAGE - 2)
+
+    def test_of_more_loads_than_one_letter_holds_the_first_are_told(self) -> None:
+        texts = pack([Load(unit, 300) for unit in self.units], [PURE])
+        self.assertEqual(1, len(texts))
+        self.assertEqual([Load(unit, 255) for unit in self.units[:84]], self.read(texts))
+
+    def test_a_letter_that_is_cut_or_foreign_is_read_as_far_as_it_makes_sense(self) -> None:
+        whole = pack([Sighting(self.units[0], PURE, 7, 1, [0] * 5), Load(self.units[1], 2)], [PURE])[0]
+        for end in range(len(whole)):
+            self.assertLessEqual(len(self.read([whole[:end]])), 1)
+        self.assertEqual([], self.read([b"\xff" + b"x" * 200]))
+        self.assertEqual([], self.read([b"\x00\x00\x00\x09"]))
+
+
+if __name__ == "__main__":
+    unittest.main()
