Relays come back to a part of the units, where new connections are priced

Checked: closed as idle by units 0; a relay sends 2 lookups a second to 100 units, so a pair meets every 50 s while an idle connection lasts 15 s (_two in rules.py chose from all units); and after one lost trip _let_go closed all for 18 s, since 1 of 10 s is more than a fiftieth of 8 lookups in 4 s.

So where a handshake has a price and letters tell what is out, the two choices come from a part by lot, and the guard closes only at a share of losses that costs more than new connections.

--- a/lanelead/interface.py
+++ b/lanelead/interface.py
@@ -125,6 +125,7 @@
     retry_advice: bool
     longest_advice: Ticks
     connect_limit: Ticks
+    idle_limit: Ticks = 0  # an idle connection ends after this; 0 where that is not told
 
 
 @dataclass(frozen=True)
--- a/lanelead/opening.py
+++ b/lanelead/opening.py
@@ -169,6 +169,7 @@
             retry_advice=self.flag("allowed.retryAfter"),
             longest_advice=self.ticks("allowed.maxRetryAfterMs"),
             connect_limit=self.ticks("allowed.connectTimeoutMs"),
+            idle_limit=self.ticks("allowed.connIdleMs"),
         )
 
     def duties(self) -> Duties:
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -1,7 +1,6 @@
 """All decisions of a relay: which unit gets a lookup's next trip, and what to vote on a build.
 
-A host makes one `Relay` an instance, sets `now`, calls it with what it heard, carries out `acts` in order and
-empties it: lanelead/interface.py has the types, docs/design.md the mechanism. Two relays share nothing.
+lanelead/interface.py has the types and what a host does, docs/design.md the mechanism. Relays share nothing.
 """
 
 from __future__ import annotations
@@ -10,7 +9,7 @@
 from collections.abc import Generator, Iterable, Sequence
 from enum import Enum
 from itertools import takewhile
-from math import ceil, inf, sqrt
+from math import ceil, inf
 from random import Random
 
 from lanelead.interface import (
@@ -19,7 +18,7 @@
     Send, Shed, Sighting, Tally, Tariff, Tell, Ticks, Trial, Trip, Unit, Verdict, Vote, Wake, Watch, Word,
 )
 from lanelead.server import Outstanding, Roster, Server, mine
-from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed
+from lanelead.sums import Fading, Purse, Recent, Window, percentile, pooled, tally, tamed, z_score
 from lanelead.zones import ANYWHERE, Pools, Spill
 
 SECOND: Ticks = 10_000
@@ -112,13 +111,6 @@
     __hash__ = object.__hash__  # they are looked up for every outcome told
 
 
-def z_score(faults: int, outcomes: int, mean: float) -> float:
-    # The deviation of a window as full as this one: earlier ones hold too few, and pooled ones far too many.
-    many = min(outcomes, FULL)
-    deviation = max(sqrt(mean * max(0.0, 1 - mean) / many), 1 / many)
-    return (faults / outcomes - mean) / deviation
-
-
 FAULTS = dict.fromkeys((Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.CUT), Fault.SHUT)
 FAULTS |= {Fate.TIMED_OUT: Fault.SILENT, Fate.ERROR: Fault.BROKEN}
 STRIKES = {Fate.UNREACHABLE: 2.0, Fate.CUT: 1.0, Fate.ERROR: 1.0, Fate.TIMED_OUT: 1.0}
@@ -167,8 +159,8 @@
         if base is None or not base.outcomes or not outcomes:
             return 0.0
         # One stray fault more than seen, errors apart: a thin baseline makes a few look like many.
-        before = base.faults.get(fault, 0) + (fault is not Fault.BROKEN)
-        z, decay = z_score(faults, outcomes, before / (base.outcomes + 1)), self._scale / (gap + self._scale)
+        mean = (base.faults.get(fault, 0) + (fault is not Fault.BROKEN)) / (base.outcomes + 1)
+        z, decay = z_score(faults, outcomes, mean, FULL), self._scale / (gap + self._scale)
         return z * decay * percentile(faults / outcomes, among) * fault.value if z > 2 else 0.0
 
     def read(self, servers: Sequence[Server], now: Ticks, span: Ticks = 0) -> tuple[float, float]:
@@ -284,9 +276,9 @@
 
 
 class Circle:
-    """Who tells whom what it saw: in a small circle all tell all; in a large one each tells a hub drawn anew,
-    and the hubs the watchers, as many as can send a build back. What is out each tells all hubs, and these in
-    turns a part of the others what all have out. Guards against bytes by the square, and lost hubs."""
+    """In a small circle all tell all. In a large one each tells a hub, drawn anew, what it saw, and the hubs
+    the watchers, as many as can send a build back; what is out each tells all hubs, and these all in turns.
+    Guards against bytes by the square, and lost hubs."""
 
     def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
         self._number, self._relays, self._chance, self._beats = place.number, place.relays, chance, 0
@@ -329,7 +321,8 @@
         # A choice takes two to four probes: where they cost over a tenth of a lookup, letters tell instead.
         self._asks = self._many and allowance.probes and 4 * tariff.probe <= 0.1
         self._tells = self._many and allowance.peers and not self._asks
-        self._out = Outstanding(SECOND)
+        self._out, self._sparing = Outstanding(SECOND), self._tells and tariff.handshake > 0
+        self._suspect = max(0.02, 2.5 * tariff.handshake)  # trips lost in 10 s, for each lookup in 4 s
         self._exposure = Exposure(trial, self._many, chance)
         told = self._many and place.number < self._circle.watchers  # much is told to it: it looks less often
         self._beat = SECOND // (5 if not told else 2 if self._circle.watchers <= CIRCLE else 1)
@@ -437,9 +430,9 @@
         self._let_go(mine(unit))
 
     def _let_go(self, server: Server) -> None:
-        """Guards against connections that are dropped unseen while idle, or of which few are granted: once a
-        fiftieth of the trips was lost, none is kept. It costs handshakes where trips are lost otherwise."""
-        if not server.out and self._lost.read(self.now) > 0.02 * self._rate.read(self.now):
+        """Guards against connections that are dropped unseen while idle, or of which few are granted: none is
+        kept once too many trips were lost. It costs handshakes where trips are lost otherwise."""
+        if not server.out and self._lost.read(self.now) > self._suspect * self._rate.read(self.now):
             self.acts.append(Close(server))
 
     def _tick(self) -> None:
@@ -479,7 +472,7 @@
         (slow, many), before, first = self._scoring.slowness(self.now), self._calm[0], self._calm[1]
         slow += int(many * self._shed.read(self.now) / max(100, self._rate.read(self.now)))  # would have been
         worse = before + max(self._poll.delay_price / (2 if released else 4), 1.5 * (first - before))
-        return many >= 100 and slow > worse * many and z_score(slow, many, before) > 3
+        return many >= 100 and slow > worse * many and z_score(slow, many, before, FULL) > 3
 
     def _learn(self, trip: Trip, server: Server, fate: Fate, took: Ticks) -> None:
         if fate in (Fate.CALLED_OFF, Fate.UNSENT):
@@ -546,7 +539,8 @@
 
     def _two(self, servers: Sequence[Server], lookup: Lookup, asked: Sequence[Server]) -> list[Server]:
         fresh, other = list[Server](), list[Server]()
-        for server in self._chance.sample(servers, min(SIGHT, len(servers))):
+        seen = [*self._near(servers), *self._chance.sample(servers, min(SIGHT, len(servers)))]
+        for server in dict.fromkeys(seen):
             if server not in asked and self._health.room(server, self.now) and self._open(server, lookup):
                 tried = server.aside > self.now or any(trip.unit is server for trip in lookup.trips)
                 (other if tried else fresh).append(server)
@@ -554,6 +548,14 @@
                     break
         return sorted(fresh or other[:2], key=self._cost)
 
+    def _near(self, servers: Sequence[Server]) -> list[Server]:
+        """Guards against connections to every unit, each idle until it ends: a part of them, by lot, half as
+        many as lookups come while one lasts. What all have out tells where the lots fell unevenly."""
+        lookups = self._rate.read(self.now) * self._allowance.idle_limit / (4 * SECOND)
+        part = max(SIGHT, int(lookups / 2 * len(servers) / max(1, len(self._roster.ready))))
+        near = sorted(servers, key=lambda server: server.lot)[: part if self._sparing else 0]
+        return self._chance.sample(near, min(SIGHT, len(near)))
+
     def _ask(self, lookup: Lookup, pair: list[Server], until: Ticks) -> Generator[Ticks, None, Server | None]:
         """Guards against thin views, which show no queues: asks two for theirs, and two more while no short
         one is known of. With none at the end the fleet is full. Lost probes make it shed."""
@@ -611,8 +613,7 @@
         return hope < 1 and self._chance.random() > hope
 
     def _thin(self) -> bool:  # one of many, with less than a lookup for each server in an expected time
-        few = self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
-        return few and self._asks
+        return self._asks and self._rate.read(self.now) * self._longest < 4 * SECOND * len(self._roster.ready)
 
     def _advance(self, lookup: Lookup, trip: Trip | None) -> None:
         for table in (self._resume, self._waiting, self._asking):
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -93,6 +93,7 @@
             True,
             ticks(self.longest_advice_ms),
             ticks(self.connect_limit_ms),
+            ticks(self.idle_limit_ms),
         )
 
 
--- a/lanelead/sums.py
+++ b/lanelead/sums.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from math import exp
+from math import exp, sqrt
 from typing import Generic, TypeVar
 
 from lanelead.interface import Lane, Ticks, Unit
@@ -92,6 +92,14 @@
         self.held -= 1
 
 
+def z_score(faults: int, outcomes: int, mean: float, full: int) -> float:
+    """The deviations between a share and a mean. The deviation is that of a window as full as this one, of
+    `full` outcomes at most: earlier windows hold too few, and pooled ones far too many."""
+    many = min(outcomes, full)
+    deviation = max(sqrt(mean * max(0.0, 1 - mean) / many), 1 / many)
+    return (faults / outcomes - mean) / deviation
+
+
 def percentile(value: float, ordered: Sequence[float]) -> float:
     """The part of the others, in rising order, that the value exceeds, those equal to it counted half."""
     return (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2 / max(1, len(ordered))
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -5,9 +5,9 @@
 import unittest
 
 from lanelead.door import MESSAGE, Door, pack, unpack
-from lanelead.interface import Condition, Load, Probe, Sighting, Tell, Unit, Word
+from lanelead.interface import Close, Condition, Fate, Load, Probe, Sighting, Tell, Unit, Word
 from lanelead.server import Outstanding, Server
-from tests.fake import PURE, SECOND, FakeHost
+from tests.fake import EFFECTFUL, PURE, SECOND, FakeHost
 
 DEAR = 0.08
 
@@ -45,6 +45,53 @@
         self.assertIn(host.units[0], went)
 
 
+class Connections(unittest.TestCase):
+    def host(self, handshake_price: float = DEAR) -> FakeHost:
+        return FakeHost(
+            units=100, probes=True, relays=200, number=50, probe_price=DEAR, handshake_price=handshake_price,
+            idle_limit=15 * SECOND,
+        )
+
+    def goes(self, host: FakeHost, lookups: int = 200) -> set[Unit]:
+        for _ in range(lookups):
+            trip = host.sent(host.ask())[-1]
+            host.run(SECOND // 2)
+            host.end(trip)
+        return {trip.unit for trip in host.sent()}
+
+    def test_a_relay_keeps_to_units_that_it_comes_back_to_before_their_connections_end(self) -> None:
+        # The fleet's days: 3,984 connections for 3,985 trips, since each relay went to each of 100 units.
+        near, all_over = (len(self.goes(self.host(price))) for price in (DEAR, 0.0))
+        self.assertLess(near, 40)
+        self.assertGreater(all_over, 60)
+
+    def test_two_relays_keep_to_different_parts(self) -> None:
+        first, second = self.host(), self.host()
+        places = [{host.units.index(unit) for unit in self.goes(host, 10)} for host in (first, second)]
+        self.assertEqual(places[0], places[1])  # the same seed
+        other = self.host()
+        for unit in other.units:
+            unit.lot = other.relay._chance.random()  # type: ignore[attr-defined]
+        self.assertNotEqual(places[0], {other.units.index(unit) for unit in self.goes(other, 10)})
+
+    def test_with_its_own_part_gone_silent_it_goes_to_the_others(self) -> None:
+        host = self.host()
+        near = self.goes(host, 10)
+        for unit in host.units:
+            if unit in near:
+                host.listed(1, condition=Condition.DRAINING, unit=unit)
+        host.acts.clear()
+        self.assertFalse(near & self.goes(host, 10))
+
+    def test_one_lost_trip_ends_no_connection_that_would_cost_more_anew(self) -> None:
+        for price, kept in ((0.0, False), (DEAR, True)):
+            host = self.host(price)
+            host.acts.clear()
+            for fate in [*[Fate.DONE] * 9, Fate.CUT, Fate.DONE]:
+                host.end(host.sent(host.ask(EFFECTFUL))[-1], fate)
+            self.assertEqual(kept, not [act for act in host.acts if isinstance(act, Close)])
+
+
 class Circles(unittest.TestCase):
     def test_a_relay_tells_every_hub_what_it_has_out_and_a_lost_hub_costs_no_other_its_word(self) -> None:
         host = FakeHost(probes=True, relays=100, number=50, probe_price=DEAR)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,9 @@
 from lanelead.interface import (
     BreakOff, Close, Condition, Control, Fate, Lane, News, Phase, Probe, Send, Shed, Sighting, Verdict,
 )
-from lanelead.rules import Fault, Scoring, View, z_score
+from lanelead.rules import FULL, Fault, Scoring, View
 from lanelead.server import mine
+from lanelead.sums import z_score
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 
@@ -256,8 +257,8 @@
 
 class Arithmetic(unittest.TestCase):
     def test_z_has_a_floor_of_one_outcome(self) -> None:
-        self.assertAlmostEqual(z_score(3, 10, 0.0), 3.0)
-        self.assertAlmostEqual(z_score(6, 10, 0.5), 0.1 / (0.5 / 10**0.5))
+        self.assertAlmostEqual(z_score(3, 10, 0.0, FULL), 3.0)
+        self.assertAlmostEqual(z_score(6, 10, 0.5, FULL), 0.1 / (0.5 / 10**0.5))
 
     def test_score_is_z_times_decay_times_percentile_times_weight(self) -> None:
         scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
