The wait before "on" is scaled as the platform's stages are

Checked in the logs: all relays vote on at once and as soon as they may, 5 s past the newest start (_tick in rules.py: wait = 5 * SECOND), margin 0.0 throughout, so no doubt and no vote back; three stages take 19.5 s.

Now 5 times the least stage, 5 s at most.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -189,8 +189,7 @@
                 judged[block.server] += self._score(many, block.outcomes, fault, of_lane, gap, among)
         new = [score for server, score in judged.items() if server.build == self._trial]
         old = [score for server, score in judged.items() if server.build < self._trial]
-        # Guards against a trouble of one machine that would carry the mean alone: no server counts for more
-        # than twice the margin. It could do harm with a build that fails on few machines; 'on' still waits.
+        # Guards against a trouble of one machine that carries the mean: none counts for twice the margin.
         mean = sum(min(score, 6.0) for score in new) / max(1, len(new))
         return mean - sum(old) / max(1, len(old)) + self._whole(every, base.get(None), now), mean
 
@@ -337,6 +336,7 @@
         self._asking: dict[Lookup, None] = {}  # those that wait for a probe
         self._rate, self._copies, self._trips, self._done, self._shed = (Fading(4 * SECOND) for _ in range(5))
         self._margin, self._stage, self._told, self._doubt, self._due = 0.0, (-1, 0), 0, 0, 0
+        self._wait = min(5 * SECOND, 5 * poll.least_stage or 5 * SECOND)  # scaled as stages are
         self._calm, self._calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
         self._untold: dict[tuple[Server, Lane, int], Sighting] = {}
         self.acts += [Wake(now + int(self._beat * chance.uniform(0.5, 1)), None)]
@@ -450,7 +450,7 @@
         self._margin, _ = self._scoring.read(ready, self.now)
         lately = self._scoring.read(ready, self.now, 3 * SECOND)[1] if self._poll.hold_votes else 0.0
         # Machines listed late start the clock late; while most are set aside, nothing is learnt.
-        wait, places = 5 * SECOND, sum(s.build < news.build or self._trial.in_place for s in ready)
+        wait, places = self._wait, sum(s.build < news.build or self._trial.in_place for s in ready)
         all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
         shut = 2 * sum(server.aside > self.now for server in new) >= len(new)
         self._doubt = self.now if self._margin > 1 else self._doubt
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -21,7 +21,7 @@
         self, units: int = 8, by_lane: bool = False, guarded: int = 0, keys_stay: bool = False,
         control: Control = Control.FIRST_VOICE, copies: bool = True, probes: bool = False, now: Ticks = 0,
         relays: int = 3, number: int = 0, probe_price: float = 0.0,
-        handshake_price: float = 0.0, idle_limit: Ticks = 0,
+        handshake_price: float = 0.0, idle_limit: Ticks = 0, least_stage: Ticks = SECOND,
     ) -> None:
         self.acts: list[Act] = []
         self.wakes: list[tuple[Ticks, Lookup | None]] = []
@@ -31,7 +31,7 @@
                                 idle_limit),
             duties=Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 3.0, SECOND, False, 0, 50),
             trial=Trial((0.1, 0.5, 1), (0.1, 0.5, 1), 3.0, 4 * SECOND, by_lane, guarded, keys_stay, False),
-            poll=Poll(control, 1, 1, 1, SECOND, 0, SECOND, 6 * SECOND, 100.0, 0.5, 2.0, 0.0),
+            poll=Poll(control, 1, 1, 1, least_stage, 0, SECOND, 6 * SECOND, 100.0, 0.5, 2.0, 0.0),
             tariff=Tariff(probe_price, 0.0, 0.0, 0.0, 0.0, handshake_price, 0.0, 0.1),
             chance=Random(7), now=now,
         )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -169,6 +169,18 @@
         host.run(2 * SECOND)
         self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.ON] * 2)
 
+    def test_the_wait_is_scaled_as_the_least_stage_is_and_never_longer_than_5_s(self) -> None:
+        # The fleet days: stages of 0.8 s in place of 1 s, and a good build was taken off before its release.
+        for least, wait in ((SECOND * 8 // 10, 4 * SECOND), (3 * SECOND, 5 * SECOND), (0, 5 * SECOND)):
+            host = FakeHost(now=20 * SECOND, least_stage=least)
+            host.news(2, 0, Phase.TRIAL, 0.1)
+            host.relay._scoring.record(
+                mine(host.listed(2, since=host.relay.now)), PURE, {}, host.relay.now, 10)
+            host.run(wait - 1)
+            self.assertEqual(host.votes(), [])
+            host.run(1)
+            self.assertEqual([vote.verdict for vote in host.votes()], [Verdict.ON])
+
     def trial(self, faults: dict[int, int], servers: int = 4, wait: int = 2) -> list[Verdict]:
         """Plays a trial in which servers fail as many of ten trips as told, and returns the votes."""
         host = FakeHost(now=20 * SECOND)
