A relay that keeps to no part of the units sorts none

Read again: _near in rules.py sorted all units by lot for each choice and threw the list away where handshakes are not priced. It now sorts only where it keeps to a part; no decision differs. A test's name says drained, as it does.

--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -553,7 +553,7 @@
         many as lookups come while one lasts. What all have out tells where the lots fell unevenly."""
         lookups = self._rate.read(self.now) * self._allowance.idle_limit / (4 * SECOND)
         part = max(SIGHT, int(lookups / 2 * len(servers) / max(1, len(self._roster.ready))))
-        near = sorted(servers, key=lambda server: server.lot)[: part if self._sparing else 0]
+        near = sorted(servers, key=lambda server: server.lot)[:part] if self._sparing else []
         return self._chance.sample(near, min(SIGHT, len(near)))
 
     def _ask(self, lookup: Lookup, pair: list[Server], until: Ticks) -> Generator[Ticks, None, Server | None]:
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -74,7 +74,7 @@
             unit.lot = other.relay._chance.random()  # type: ignore[attr-defined]
         self.assertNotEqual(places[0], {other.units.index(unit) for unit in self.goes(other, 10)})
 
-    def test_with_its_own_part_gone_silent_it_goes_to_the_others(self) -> None:
+    def test_with_its_own_part_drained_it_goes_to_the_others(self) -> None:
         host = self.host()
         near = self.goes(host, 10)
         for unit in host.units:
