Hubs take turns at different relays; units a full letter leaves out are not idle

(2) Under the flood just 84 of 100 units had trips, the letter's bound: the others counted as idle and drew the lookups (Outstanding.at). (3) A relay with nothing out said nothing, so hubs kept its last trips for 1 s; units where only the hub has trips were left out; letters named no version.

Change: a hub begins at its number's quarter; a unit that a full letter leaves out counts as the least told of; nothing out is said once; a hub adds its own; letters name their form in the three high bits of the count.

--- a/lanelead/door.py
+++ b/lanelead/door.py
@@ -15,6 +15,8 @@
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
 LOAD = Struct(">HB")  # a load: unit mark, trips out
 MESSAGE = 256  # the most bytes of one message between relays
+LOADS = (MESSAGE - 3) // LOAD.size  # the most loads in one
+FORM, COUNT = 1, 5  # the messages' form, above the bits that count sightings: relays of two versions meet
 
 
 class Door:
@@ -43,9 +45,9 @@
 
 
 def pack(words: Sequence[Word], lanes: Sequence[Lane]) -> list[bytes]:
-    """Sightings and loads as messages of the allowed length: the number of sightings, then their rows, then
-    loads. The loads go whole into one message, since they say what is out and that there is no more: of more
-    than fit, those that come first."""
+    """Sightings and loads as messages of the allowed length: their form and the number of sightings in one
+    byte, then the sightings' rows, then loads. The loads go whole into one message, since they say what is
+    out and that there is no more: of more than fit, those that come first."""
     rows = [
         ROW.pack(
             word.unit.mark,
@@ -58,22 +60,24 @@
         if isinstance(word, Sighting)
     ]
     loads = [LOAD.pack(word.unit.mark, min(word.trips, 255)) for word in words if isinstance(word, Load)]
-    step, most = (MESSAGE - 3) // ROW.size, (MESSAGE - 3) // LOAD.size
+    step = (MESSAGE - 3) // ROW.size
     texts = [rows[place : place + step] for place in range(0, len(rows), step)]
-    parts = [bytes([len(some)]) + b"".join(some) for some in texts]
+    parts = [bytes([FORM << COUNT | len(some)]) + b"".join(some) for some in texts]
     if loads:
-        tail = b"".join(loads[:most])
+        tail = b"".join(loads[:LOADS])
         if parts and len(parts[-1]) + len(tail) <= MESSAGE - 2:
             parts[-1] += tail
         else:
-            parts.append(bytes([0]) + tail)
+            parts.append(bytes([FORM << COUNT]) + tail)
     return parts
 
 
 def unpack(text: bytes, units: Mapping[int, Unit], lanes: Sequence[Lane]) -> list[Word]:
-    """What a message says; rows of units, builds or lanes unknown to this relay are passed over."""
-    end = 1 + text[0] * ROW.size if text else 0
-    if not text or end > len(text):
+    """What a message says; rows of units, builds or lanes unknown to this relay are passed over, and so is a
+    message of another form: read as this one, it would say what nobody saw."""
+    form, count = divmod(text[0], 1 << COUNT) if text else (FORM, 0)
+    end = 1 + count * ROW.size
+    if form != FORM or end > len(text):
         return []
     words: list[Word] = [
         Sighting(unit, lanes[lane], build, outcomes, faults)
--- a/lanelead/rules.py
+++ b/lanelead/rules.py
@@ -280,8 +280,8 @@
     Guards against bytes by the square, and lost hubs."""
 
     def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
-        self._number, self._relays, self._chance, self._beats = place.number, place.relays, chance, 0
-        self._hubs = place.relays if place.relays <= CIRCLE else CIRCLE // 2
+        self._number, self._relays, self._chance = place.number, place.relays, chance
+        self._hubs, self._beats = place.relays if place.relays <= CIRCLE else CIRCLE // 2, place.number
         self.watchers = min(place.relays, max(self._hubs, back_votes * 5 // 4))
         self.hub = place.number < self._hubs
 
@@ -439,8 +439,8 @@
         # Also right when 'on' falls due: guards against beats that add up to a release that comes too late.
         self.acts.append(Wake(min(at for at in (self._due, self.now + self._beat) if at > self.now), None))
         news, ready = self._exposure.news, self._roster.ready
-        out = [Load(server, len(server.out)) for server in ready if server.out and self._tells]
-        in_all = self._out.add(self.now) if self._circle.hub else []
+        out = self._out.own(ready) if self._tells else []
+        in_all = self._out.add(out, self.now) if self._circle.hub else []
         self.acts += self._circle.letters([*self._untold.values()], out, in_all)
         self._untold.clear()
         trial = news is not None and news.phase is Phase.TRIAL
--- a/lanelead/server.py
+++ b/lanelead/server.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 
+from lanelead.door import LOADS
 from lanelead.interface import Condition, Coverage, Listing, Load, Ticks, Trip, Unit
 from lanelead.sums import Fading
 
@@ -53,7 +54,16 @@
     def __init__(self, span: Ticks) -> None:
         self._span = span  # what is older than this is not known any more
         self._told = dict[int, tuple[Ticks, list[Load]]]()
-        self._others, self._at = dict[Server, int](), -span
+        self._said: list[Server] = []  # where this relay last said that it had trips out
+        self._others, self._at, self._rest = dict[Server, int](), -span, 0
+
+    def own(self, servers: Iterable[Server]) -> list[Load]:
+        """What this relay has out. With nothing out any more it says so once: silence would leave the hubs
+        with its last trips until those are too old."""
+        busy = [server for server in servers if server.out]
+        loads = [Load(server, len(server.out)) for server in busy or self._said]
+        self._said = busy
+        return loads
 
     def hear(self, peer: int | None, loads: list[Load], now: Ticks) -> None:
         """All that a peer has out itself; none: all that all have out, this relay's trips among them."""
@@ -62,18 +72,22 @@
         else:
             self._at, rows = now, ((mine(load.unit), load.trips) for load in loads)
             self._others = {server: trips - len(server.out) for server, trips in rows}
+            # A full letter left out units with no more than the least it tells of; they are not idle.
+            self._rest = loads[-1].trips if len(loads) >= LOADS else 0
 
-    def add(self, now: Ticks) -> list[Load]:
-        """Adds up what the peers told, and gives what all relays have out, most first."""
+    def add(self, own: Iterable[Load], now: Ticks) -> list[Load]:
+        """Adds up what the peers told, and gives what all relays have out with this one's own, most first."""
         self._told = {peer: told for peer, told in self._told.items() if told[0] > now - self._span}
-        self._at, self._others = now, {}
+        self._at, self._others, self._rest = now, {}, 0
         for _, loads in self._told.values():
             for load in loads:
                 server = mine(load.unit)
                 self._others[server] = self._others.get(server, 0) + load.trips
-        every = [Load(server, trips + len(server.out)) for server, trips in self._others.items()]
-        return sorted(every, key=lambda load: -load.trips)
+        total = Counter[Unit](self._others)
+        total.update({load.unit: load.trips for load in own})
+        return [Load(unit, trips) for unit, trips in total.most_common()]
 
     def at(self, server: Server, now: Ticks) -> int:
-        """The others' trips there, 0 where nothing is known."""
-        return max(0, self._others.get(server, 0)) if self._at > now - self._span else 0
+        """The others' trips there at the most, 0 where nothing is known."""
+        told = self._others.get(server, self._rest - len(server.out))
+        return max(0, told) if self._at > now - self._span else 0
--- a/tests/test_circle_processes.py
+++ b/tests/test_circle_processes.py
@@ -12,18 +12,13 @@
 import unittest
 from collections.abc import AsyncIterator, Callable, Iterable
 from pathlib import Path
-from random import Random
 
 from lanelead.circle.commands import table
 from lanelead.circle.letters import ALIVE, DEAD, LEFT, Row
 from lanelead.days.fleet import free_ports
 from lanelead.protocols.records import Row as Listed
-from lanelead.settings.read import read_text
-from lanelead.settings.records import Relay
-from lanelead.standins.desk import Desk
-from lanelead.standins.roster import Roster
 from lanelead.standins.wires import Wires
-from tests.town import SETTINGS, live
+from tests.town import SETTINGS, live, outside
 
 CIRCLE = """peers: {listen: port: %d, others: [%s]}
 	circle: {regions: [{name: "hellas", zones: ["north"]}], seeds: [%s], period_ms: 150}"""
@@ -84,28 +79,20 @@
 async def ring(many: int = 6) -> AsyncIterator[Ring]:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        record = read_text(SETTINGS.replace(", MORE", "") % (1, 1), "town")
-        assert isinstance(record, Relay)
-        roster = Roster(folder, 0, 0.0)
-        trial, poll = record.service.trial, record.service.poll
-        desk = Desk(folder, 0, trial, poll, 0.0, 1.0, Random(0), lambda build, stage, phase: None)
-        await roster.open()
-        await desk.open()
-        roster.list_now(Listed("u", "127.0.0.1", 1, "north", 1, "ready"))
-        wires = Wires(many, 1)
-        found = Ring(many, folder, wires, roster.port, desk.port)
-        try:
-            await asyncio.gather(*(found.start(number) for number in range(many)))
-            await found.together()
-            yield found
-        finally:
-            for process in found.processes.values():
-                with contextlib.suppress(ProcessLookupError):
-                    process.kill()
-                await process.wait()
-            wires.close()
-            roster.close()
-            desk.close()
+        async with outside(folder) as (roster, desk):
+            roster.list_now(Listed("u", "127.0.0.1", 1, "north", 1, "ready"))
+            wires = Wires(many, 1)
+            found = Ring(many, folder, wires, roster.port, desk.port)
+            try:
+                await asyncio.gather(*(found.start(number) for number in range(many)))
+                await found.together()
+                yield found
+            finally:
+                for process in found.processes.values():
+                    with contextlib.suppress(ProcessLookupError):
+                        process.kill()
+                    await process.wait()
+                wires.close()
 
 
 class Processes(unittest.TestCase):
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from lanelead.door import MESSAGE, Door, pack, unpack
+from lanelead.door import LOADS, MESSAGE, Door, pack, unpack
 from lanelead.interface import Close, Condition, Fate, Load, Probe, Sighting, Tell, Unit, Word
 from lanelead.server import Outstanding, Server
 from tests.fake import EFFECTFUL, PURE, SECOND, FakeHost
@@ -112,6 +112,31 @@
                 self.assertEqual([Load(busy, 3), Load(other, 1)], tell.words)
         self.assertEqual(set(range(4, 100)), reached)
 
+    def test_a_relay_with_nothing_out_any_more_says_so_once(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=50, probe_price=DEAR)
+        trip = host.sent(host.ask(EFFECTFUL))[0]
+        told(host)
+        host.end(trip)
+        for hubs in ([0, 1, 2, 3], []):
+            words = [(tell.peer, word) for tell in told(host) for word in tell.words]
+            loads = [(peer, word) for peer, word in words if isinstance(word, Load)]
+            self.assertEqual([(hub, Load(trip.unit, 0)) for hub in hubs], loads)
+
+    def test_each_beat_of_the_hubs_reaches_every_relay(self) -> None:
+        hubs = [FakeHost(probes=True, relays=100, number=n, probe_price=DEAR) for n in range(4)]
+        for _ in range(4):
+            reached = list[int | None]()
+            for host in hubs:
+                host.relay.heard(40, [Load(host.units[0], 2)])
+                reached += [tell.peer for tell in told(host)]
+            self.assertEqual(list(range(4, 100)), sorted(peer for peer in reached if peer is not None))
+
+    def test_a_hub_tells_of_units_where_it_alone_has_trips(self) -> None:
+        host = FakeHost(probes=True, relays=100, number=0, probe_price=DEAR)
+        trip = host.sent(host.ask())[0]
+        words = [word for tell in told(host) if tell.peer not in range(4) for word in tell.words]
+        self.assertIn(Load(trip.unit, 1), words)
+
     def test_what_a_dead_relay_had_out_is_forgotten_by_the_hubs(self) -> None:
         host = FakeHost(probes=True, relays=100, number=0, probe_price=DEAR)
         host.relay.heard(40, [Load(host.units[0], 9)])
@@ -127,6 +152,13 @@
         known.hear(None, [Load(units[0], 3)], 0)
         self.assertEqual((2, 0), tuple(known.at(unit, 1) for unit in units))
 
+    def test_units_that_a_full_letter_leaves_out_are_not_taken_as_idle(self) -> None:
+        units = [Server(mark, SECOND, SECOND, 0.0) for mark in range(LOADS + 1)]
+        known = Outstanding(SECOND)
+        for many, least in ((LOADS, 3), (LOADS - 1, 0)):
+            known.hear(None, [Load(unit, 3 + (unit is units[0])) for unit in units[:many]], 0)
+            self.assertEqual((4, least), (known.at(units[0], 1), known.at(units[-1], 1)))
+
 
 class Letters(unittest.TestCase):
     def setUp(self) -> None:
@@ -146,6 +178,11 @@
             self.assertEqual(words, self.read(texts))
             self.assertLessEqual(max(map(len, texts)), MESSAGE - 2)
 
+    def test_a_letter_of_another_version_says_nothing(self) -> None:
+        text = pack([Sighting(self.units[0], PURE, 7, 3, [0] * 5), Load(self.units[1], 2)], [PURE])[0]
+        before = bytes([1]) + text[1:]  # as relays wrote it that named no version
+        self.assertEqual(([], 2), (self.read([before]), len(self.read([text]))))
+
     def test_of_more_loads_than_one_letter_holds_the_first_are_told(self) -> None:
         texts = pack([Load(unit, 300) for unit in self.units], [PURE])
         self.assertEqual(1, len(texts))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,14 +11,11 @@
 import unittest
 from collections.abc import AsyncIterator
 from pathlib import Path
-from random import Random
 
 from lanelead.protocols.records import Row
-from lanelead.settings.read import read_text
-from lanelead.settings.records import Relay
 from lanelead.standins.desk import Desk
 from lanelead.standins.roster import Roster
-from tests.town import SETTINGS, Client, ScriptedUnit, live, says
+from tests.town import SETTINGS, Client, ScriptedUnit, live, outside, says
 
 LIMITED = "import resource, runpy, sys; n = int(sys.argv.pop(1)); \
 resource.setrlimit(resource.RLIMIT_NOFILE, (n, n)); runpy.run_module('lanelead', run_name='__main__')"
@@ -38,34 +35,36 @@
 async def relay(unit: ScriptedUnit, descriptors: int = 1024) -> AsyncIterator[Process]:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        record = read_text(SETTINGS.replace(", MORE", "") % (1, 1), "town")
-        assert isinstance(record, Relay)
-        roster = Roster(folder, 0, 0.0)
-        trial, poll = record.service.trial, record.service.poll
-        desk = Desk(folder, 0, trial, poll, 0.0, 1.0, Random(0), lambda build, stage, phase: None)
-        await roster.open()
-        await desk.open()
-        await unit.open()
-        roster.list_now(Row(unit.name, "127.0.0.1", unit.port, "north", 1, "ready"))
-        (folder / "relay.cue").write_text(SETTINGS.replace(", MORE", "") % (roster.port, desk.port))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", LIMITED, str(descriptors), "relay", "--settings", str(folder / "relay.cue"),
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
-        )  # fmt: skip
-        assert process.stdout is not None
-        found = Process(process, int((await process.stdout.readline()).split()[2]))
-        try:
+        async with (
+            outside(folder) as (roster, desk),
+            running(unit, descriptors, folder, roster, desk) as found,
+        ):
             yield found
-        finally:
-            for client in found.clients:
-                client.writer.close()
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-            roster.close()
-            desk.close()
-            unit.shut()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    unit: ScriptedUnit, descriptors: int, folder: Path, roster: Roster, desk: Desk
+) -> AsyncIterator[Process]:
+    await unit.open()
+    roster.list_now(Row(unit.name, "127.0.0.1", unit.port, "north", 1, "ready"))
+    (folder / "relay.cue").write_text(SETTINGS.replace(", MORE", "") % (roster.port, desk.port))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", LIMITED, str(descriptors), "relay", "--settings", str(folder / "relay.cue"),
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        env={**os.environ, "PYTHONPATH": str(Path(__file__).parent.parent)},
+    )  # fmt: skip
+    assert process.stdout is not None
+    found = Process(process, int((await process.stdout.readline()).split()[2]))
+    try:
+        yield found
+    finally:
+        for client in found.clients:
+            client.writer.close()
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+        unit.shut()
 
 
 class Signals(unittest.TestCase):
--- a/tests/town.py
+++ b/tests/town.py
@@ -48,6 +48,23 @@
 """.replace("LIMITS", "expected_time_ms: 800, outer_limit_ms: 1500")
 
 
+@contextlib.asynccontextmanager
+async def outside(folder: Path) -> AsyncIterator[tuple[Roster, Desk]]:
+    """The roster and the desk that a relay's process needs, with nothing listed yet."""
+    record = read_text(SETTINGS.replace(", MORE", "") % (1, 1), "town")
+    assert isinstance(record, Relay)
+    roster = Roster(folder, 0, 0.0)
+    trial, poll = record.service.trial, record.service.poll
+    desk = Desk(folder, 0, trial, poll, 0.0, 1.0, Random(0), lambda build, stage, phase: None)
+    await roster.open()
+    await desk.open()
+    try:
+        yield roster, desk
+    finally:
+        roster.close()
+        desk.close()
+
+
 def live(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
     """Runs a test on uvloop, for 30 s at most."""
 
