--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -147,6 +147,17 @@
             member.tick(now)
         self.assertEqual(DEAD, member.rows[5].state)
 
+    def test_one_that_comes_late_to_its_own_beat_suspects_nobody_for_that(self) -> None:
+        member = one(row(5))
+        while not any(isinstance(letter, Ping) for letter in sent(member)):
+            member.tick(member.due())
+        for late in (0, 0, 5 * SECOND):  # it stood still; the answer lies unread
+            member.tick(member.due() + late)
+        self.assertEqual((0, ALIVE), (member.counts.suspected, member.rows[5].state))
+        for _ in range(4):  # now on time, and still no answer
+            member.tick(member.due())
+        self.assertEqual(1, member.counts.suspected)
+
     def test_ill_words_of_oneself_are_answered_with_a_higher_turn_and_of_no_other(self) -> None:
         member = one(row(5))
         member.receive(says(5, Claim(0, 1, 4, DEAD, 5), Claim(5, 1, 0, SUSPECT, 9)), NOWHERE, 1)
@@ -174,6 +185,8 @@
         member.leave(5)
         self.assertEqual(LEFT, member.rows[0].state)
         self.assertTrue(any(claim.state == LEFT for letter in sent(member) for claim in letter.claims))
+        member.receive(says(5, Claim(0, 1, 1, DEAD, 5)), NOWHERE, 6)
+        self.assertEqual((1, 1, LEFT), member.own.rank)
         gone = row(5, turn=1, state=LEFT)
         for said in (gone, row(5, turn=1), row(5, turn=1, state=SUSPECT)):
             other.receive(says(6, said), NOWHERE, 1)
