--- a/tests/test_circle_processes.py
+++ b/tests/test_circle_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import socket
@@ -13,6 +14,9 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from pathlib import Path
 
+from click.testing import CliRunner
+
+from lanelead.circle.commands import circle as commands
 from lanelead.circle.commands import table
 from lanelead.circle.letters import ALIVE, DEAD, LEFT, Row
 from lanelead.days.fleet import free_ports
@@ -106,6 +110,22 @@
             await circle.together()
             self.assertGreater((await circle.seen(1))[5].life, before)
 
+    @live
+    async def test_the_command_shows_whom_a_relay_sees_and_says_what_to_do_where_none_answers(self) -> None:
+        async with ring(3) as circle:
+            at = f"127.0.0.1:{circle.ports[1]}"
+            found = await asyncio.to_thread(CliRunner().invoke, commands, ["members", "--at", at, "--json"])
+            rows = json.loads(found.stdout)["members"]
+            self.assertEqual([(n, "alive", "north") for n in range(3)],
+                             [(row["number"], row["state"], row["zone"]) for row in rows])  # fmt: skip
+            found = await asyncio.to_thread(CliRunner().invoke, commands, ["status", "--at", at])
+            self.assertEqual("hellas/north: 3 alive\n", found.stdout)
+            (free,) = free_ports(1, socket.SOCK_DGRAM)
+            for nobody, code in ((f"127.0.0.1:{free}", 1), ("nowhere", 2)):
+                found = await asyncio.to_thread(CliRunner().invoke, commands, ["status", "--at", nobody])
+                self.assertEqual(code, found.exit_code)
+                self.assertIn("peers.listen", found.stderr)
+
     @live
     async def test_one_that_is_told_to_end_has_left_and_is_not_found_dead(self) -> None:
         async with ring() as circle:
