--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -48,7 +48,12 @@
 class Connections(unittest.TestCase):
     def host(self, handshake_price: float = DEAR) -> FakeHost:
         return FakeHost(
-            units=100, probes=True, relays=200, number=50, probe_price=DEAR, handshake_price=handshake_price,
+            units=100,
+            probes=True,
+            relays=200,
+            number=50,
+            probe_price=DEAR,
+            handshake_price=handshake_price,
             idle_limit=15 * SECOND,
         )
 
