Circle: an earlier life's word counts for nothing, and what nothing used is gone

Cause, found reading the change again: Membership.receive merged a letter's rows and claims before it looked whether its sender was an earlier life, against its own comment; an unknown member told of as suspect was set twice, and the suspicion put down to this member, which had not asked; a class, a function, a returned figure and a field had no user; rule 4 did not say that another's finding is taken; the test of noise asserted nothing that noise could change.

Change: the sender's life is looked at first; one path for told rows; the unused is removed, the rule is worded as it is kept, the noise test counts.

--- a/lanelead/circle/members.py
+++ b/lanelead/circle/members.py
@@ -6,7 +6,8 @@
 1. What is known of a member never goes back: of two rows the one of the higher (life, turn, state) holds.
 2. Only a member itself raises its life or its turn, and none of its own is ever taken from another's word.
 3. No two lives of one number count as two; the earlier one falls silent when it hears of the later.
-4. Nobody is found dead here who was not suspected here for the least wait, and asked in vain all the while.
+4. Nobody is found dead here who was not suspected here for the least wait, and asked in vain before its end.
+   What another found is taken from it, and is undone by the dead one's own word.
 5. Who left stays gone in that life.
 
 Sources: Das, Gupta, Motivala (SWIM, DSN 2002), sections 3 and 4; Dadgar, Phillips, Currey (Lifeguard, DSN-W
@@ -18,7 +19,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from math import ceil, log, log2, log10
 from random import Random
@@ -77,10 +78,6 @@
     now: Row
 
 
-class Refused(Exception):
-    """This life is over: a later one of the same number is there."""
-
-
 @dataclass(slots=True)
 class Suspicion:
     since: Ticks
@@ -184,6 +181,11 @@
             if letter.life > self.own.life:
                 self._replaced(msgspec.structs.replace(self.own, life=letter.life))
             return
+        known = self.rows.get(letter.sender)
+        if not guest and known is not None and known.life > letter.life:
+            # An earlier life that still speaks: it's told that it is over, and nothing it says counts.
+            self._send(source, Gossip(*self._head()), [known])
+            return
         for row in () if guest else letter.rows:
             self._merge(row)
         for claim in () if guest else letter.claims:
@@ -191,10 +193,6 @@
         if self.over is not None:
             return
         known = self.rows.get(letter.sender)
-        if not guest and known is not None and known.life > letter.life:
-            # An earlier life that still speaks: it's told that it is over, and nothing it says counts.
-            self._send(source, Gossip(self.own.number, self.own.life, self._digest, [], []), [known])
-            return
         self._answer(letter, source, known)
         if not guest and (known is None or letter.digest != self._digest):
             self._differs(source, known is None)
@@ -235,7 +233,7 @@
         for number in self._draw(2 * FAN):
             self._send(
                 self._address(number),
-                Gossip(self.own.number, self.own.life, self._digest, [], []),
+                Gossip(*self._head()),
                 [Claim(self.own.number, self.own.life, self.own.turn, LEFT, self.own.number)],
             )
 
@@ -245,14 +243,11 @@
         known = self.rows.get(row.number)
         if row.number == self.own.number:
             self._of_own(row)
-        elif known is None:
-            if not row.gone:  # the dead of long ago are not brought back by those that remember them longer
-                self._set(row)
-                if row.state == SUSPECT:
-                    self._suspect(row, self.own.number)
-        elif row.rank > known.rank:
+        elif known is None and row.gone:
+            pass  # the dead of long ago are not brought back by those that remember them longer
+        elif known is None or row.rank > known.rank:
             if row.state == SUSPECT:
-                self._suspect(row, row.number)
+                self._suspect(row, row.number)  # a row does not say who suspects it
             else:
                 self._set(row)
 
@@ -340,8 +335,8 @@
         row = self.rows[number]
         return self.addresses.get(number, (row.host, row.port))
 
-    def _send(self, to: Address, letter: AnyLetter, first: Iterable[Row | Claim] = ()) -> int:
-        """Sends it with what must be in it, and rumors as there is room; how much of the first went in."""
+    def _send(self, to: Address, letter: AnyLetter, first: Iterable[Row | Claim] = ()) -> None:
+        """Sends it with what must be in it, and rumors as there is room."""
         forced = list(first)
         numbers = {rumor.number for rumor in forced}
         rumors = [rumor for rumor in self._fresh() if rumor.what.number not in numbers]
@@ -354,13 +349,10 @@
         self.counts.sent += 1
         self.counts.bytes += len(text)
         self.outbox.append((to, text))
-        return min(len(taken), len(forced))
 
     def _fresh(self) -> list[Rumor]:
         """The rumors told least, a few more than a letter holds."""
-        if len(self._rumors) > 12:
-            return sorted(self._rumors.values(), key=lambda rumor: rumor.told)[:12]
-        return sorted(self._rumors.values(), key=lambda rumor: rumor.told)
+        return sorted(self._rumors.values(), key=lambda rumor: rumor.told)[:12]
 
     def _tell(self, what: Row | Claim) -> None:
         self._rumors.pop(what.number, None)
@@ -574,11 +566,3 @@
             self._sync = to, table.then, self.now + self._span(), 3
         else:
             self._call(to, table.then, 3)
-
-
-def letters(members: Iterable[Membership]) -> Iterator[tuple[Membership, Address, bytes]]:
-    """Takes what they all want sent."""
-    for member in members:
-        out, member.outbox = member.outbox, []
-        for to, text in out:
-            yield member, to, text
--- a/lanelead/model/circle.py
+++ b/lanelead/model/circle.py
@@ -41,7 +41,7 @@
     ) -> None:  # fmt: skip
         self._kind = kind
         self.now: Ticks = 0
-        self.wires, self._tempo, self._seed, self._lives = wires, tempo, seed, 0
+        self.wires, self._tempo, self._seed = wires, tempo, seed
         self.chance = Random(f"circle {seed}")
         self.members: dict[int, Membership] = {}
         self.stopped: dict[int, Ticks] = {}  # until when
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -175,7 +175,9 @@
 
     def test_an_earlier_life_that_still_speaks_is_told_of_the_later(self) -> None:
         member = one(row(5, life=3))
-        member.receive(write(Ping(5, 2, 0, [], [], 1, 0, 1))[0], NOWHERE, 1)
+        text, _ = write(Ping(5, 2, 0, [], [], 1, 0, 1), [row(6), Claim(5, 3, 0, DEAD, 5)])
+        member.receive(text, NOWHERE, 1)
+        self.assertEqual({0: ALIVE, 5: ALIVE}, {n: known.state for n, known in member.rows.items()})
         letters = sent(member)
         self.assertEqual([Gossip], [type(letter) for letter in letters])
         self.assertIn(row(5, life=3), letters[0].rows)
@@ -230,6 +232,7 @@
         for text in (noise, bytes(whole), bytes(whole[: place % len(whole)])):
             member.receive(text, NOWHERE, 1)
             member.tick(member.now)
+        self.assertGreaterEqual(member.counts.unread, 1)  # cut short, at the least
         self.assertEqual(1, member.own.life)
 
     def test_what_is_out_of_bounds_is_unread(self) -> None:
