--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -19,7 +19,7 @@
 
 from lanelead.circle.letters import DEAD, Ask
 from lanelead.circle.members import BEATS, HELPERS, Membership, Suspicion, Tempo
-from lanelead.interface import Ticks
+from lanelead.decisions.interface import Ticks
 from lanelead.model.circle import SECOND, Town, Wires
 
 TEMPO = Tempo(3000, 600 * SECOND)
--- a/benchmarks/relay_path.py
+++ b/benchmarks/relay_path.py
@@ -333,9 +333,7 @@
             where = "driver"
         elif "lanelead/relay" in file:
             where = "gate and links"
-        elif any(
-            file.endswith(name) for name in ("rules.py", "sums.py", "server.py", "interface.py", "random.py")
-        ):
+        elif "lanelead/decisions" in file or file.endswith("random.py"):
             where = "decisions"
         elif "uvloop" not in file and "uvloop" not in func and "socket" not in func and file != "~":
             where = "other Python"
--- a/lanelead/benchlink/__main__.py
+++ b/lanelead/benchlink/__main__.py
@@ -5,7 +5,7 @@
 import sys
 
 from lanelead.benchlink.host import serve
-from lanelead.opening import Malformed
+from lanelead.hosting.opening import Malformed
 
 
 def main() -> int:
--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -8,8 +8,8 @@
 
 from lanelead.benchlink import wire
 from lanelead.benchlink.wire import millis
-from lanelead.door import Door, pack, unpack
-from lanelead.interface import (
+from lanelead.hosting.door import Door, pack, unpack
+from lanelead.decisions.interface import (
     BreakOff,
     CallOff,
     Close,
@@ -33,8 +33,8 @@
     Watch,
     Word,
 )
-from lanelead.opening import Malformed, Opening, known, number, ticks, whole
-from lanelead.rules import Relay
+from lanelead.hosting.opening import Malformed, Opening, known, number, ticks, whole
+from lanelead.decisions.rules import Relay
 
 Words = list[str]
 
--- a/lanelead/benchlink/wire.py
+++ b/lanelead/benchlink/wire.py
@@ -5,8 +5,8 @@
 import re
 from collections.abc import Sequence
 
-from lanelead.interface import Condition, Coverage, Fate, Report, Ticks
-from lanelead.opening import Malformed, number
+from lanelead.decisions.interface import Condition, Coverage, Fate, Report, Ticks
+from lanelead.hosting.opening import Malformed, number
 
 
 FATES = {
--- a/lanelead/circle/letters.py
+++ b/lanelead/circle/letters.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from lanelead.door import MESSAGE
+from lanelead.hosting.door import MESSAGE
 
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
--- a/lanelead/circle/members.py
+++ b/lanelead/circle/members.py
@@ -46,7 +46,7 @@
     read,
     write,
 )
-from lanelead.interface import Ticks
+from lanelead.decisions.interface import Ticks
 
 HASHED = Struct(">HQI")
 BEATS = 3  # in a period: a ping is sent at each of them until it is answered
--- /dev/null
+++ b/lanelead/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of a relay, without I/O: `rules` joins them, `interface` has what passes at its door."""
--- /dev/null
+++ b/lanelead/decisions/choosing.py
@@ -0,0 +1,79 @@
+"""Two units for a lookup's next trip, the better first; and which units are set aside, or full."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import TypeAlias
+
+from lanelead.decisions.guards import Guards
+from lanelead.decisions.interface import SECOND, Lookup, Ticks
+from lanelead.decisions.servers import Outstanding, Roster, Server, Traffic
+from lanelead.decisions.zones import Pools
+
+SIGHT = 16  # servers looked at for one choice, at most
+Some: TypeAlias = Sequence[Server]
+Pair: TypeAlias = list[Server]
+
+
+class Choice:
+    """`quickest`, `longest`: expected times. `spared`: how long idle connections last; 0: no matter."""
+
+    def __init__(
+        self, roster: Roster, guards: Guards, out: Outstanding, traffic: Traffic, quickest: Ticks,
+        longest: Ticks, spared: Ticks, chance: Random,
+    ) -> None:
+        self._roster, self.guards, self.chance, self._out = roster, guards, chance, out
+        self._traffic, self._target, self._rest, self._spared = traffic, quickest // 2, 2 * longest, spared
+
+    def note(self, server: Server, strike: float, now: Ticks) -> None:
+        """Sets a failing unit aside, never most of the fleet."""
+        server.trips.add(now, 1)
+        server.strikes.add(now, strike)
+        failing, ready = server.strikes.read(now) >= max(2.0, server.trips.read(now) / 2), self._roster.ready
+        if failing and server.aside <= now and 2 * sum(other.aside > now for other in ready) < len(ready):
+            server.aside = now + self._rest + int(self._rest * self.chance.random())
+
+    def _room(self, server: Server, now: Ticks) -> bool:
+        """One more trip? Up to what it did in six tenths of the expected time: guards against long queues."""
+        return not server.out or len(server.out) < 1.2 * server.done.read(now) / (2 * SECOND) * self._target
+
+    def cost(self, server: Server, now: Ticks) -> float:  # the wait to expect there, as a rank
+        trips = server.trips.read(now)
+        load = (1 + len(server.out) + self._out.at(server, now)) / server.size
+        load *= (1 + server.pace.read(now)) / (1 + trips)
+        # A unit that has gone silent answers nothing at all: its oldest trip tells.
+        oldest = next(iter(server.out), None)
+        silent = (now - oldest.sent) / oldest.lookup.lane.expected_time if oldest else 0.0
+        return load * (1 + 3 * server.strikes.read(now) / (1 + trips)) * (1 + silent)
+
+    def pair(self, cuts: Iterable[Pools], lookup: Lookup, lean: float, now: Ticks, asked: Some) -> Pair:
+        """`lean`: how much worse a unit on trial may look than an earlier one, and still come first."""
+        return next((two for groups in cuts if (two := self._among(groups, lookup, lean, now, asked))), [])
+
+    def _among(self, groups: Pools, lookup: Lookup, lean: float, now: Ticks, asked: Some) -> Pair:
+        allows, new = self.guards.exposure.allows, Pair()  # builds that were asked in vain come last
+        pools = [some for build, some in groups.items() if some and allows(build, lookup, now)]
+        pools.sort(key=lambda servers: any(server in servers for server in asked))
+        while pools and not new:
+            new = self.two(pools.pop(0), lookup, now, asked)
+        old = self.two([server for servers in pools for server in servers], lookup, now, asked)
+        return new if new and (not old or self.cost(new[0], now) <= self.cost(old[0], now) * lean) else old
+
+    def two(self, servers: Some, lookup: Lookup, now: Ticks, asked: Some) -> Pair:
+        fresh, other = Pair(), Pair()
+        seen = [*self._near(servers, now), *self.chance.sample(servers, min(SIGHT, len(servers)))]
+        for server in dict.fromkeys(seen):
+            free = server not in asked and self._room(server, now)
+            if free and self.guards.open(server, lookup, now):
+                tried = server.aside > now or any(trip.unit is server for trip in lookup.trips)
+                (other if tried else fresh).append(server)
+                if len(fresh) == 2:
+                    break
+        return sorted(fresh or other[:2], key=lambda server: self.cost(server, now))
+
+    def _near(self, servers: Some, now: Ticks) -> Pair:
+        """Guards against connections to every unit, each idle until it ends: a part of them, by lot, half as
+        many as lookups come while one lasts."""
+        lookups = self._traffic.taken.read(now) * self._spared / (4 * SECOND)
+        part = max(SIGHT, int(lookups / 2 * len(servers) / max(1, len(self._roster.ready))))
+        near = sorted(servers, key=lambda server: server.lot)[:part] if self._spared else []
+        return self.chance.sample(near, min(SIGHT, len(near)))
--- /dev/null
+++ b/lanelead/decisions/guards.py
@@ -0,0 +1,125 @@
+"""The rules' guards, whatever chooses: repeats, drains, cold units, and what goes to a build on trial."""
+
+from math import inf
+from random import Random
+
+from lanelead.decisions.interface import (
+    SECOND, Allowance, Condition, Duties, Fate, Lane, Lookup, News, Phase, Repeat, Scope, Ticks, Trial,
+)
+from lanelead.decisions.servers import Roster, Server, Traffic, warmth
+from lanelead.decisions.sums import Purse, Recent
+
+NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
+
+
+class Exposure:
+    def __init__(self, trial: Trial, many: bool, chance: Random) -> None:
+        self._trial, self._many, self._chance = trial, many, chance
+        self._ledgers, self._keys = dict[tuple[int, Lane | None], Purse](), dict[str, int]()
+        self._seen = Recent(2 * trial.window)
+        self.news: News | None = None
+
+    def hear(self, news: News) -> None:
+        self.news = news
+        if news.phase in (Phase.REVERTING, Phase.WITHDRAWN):
+            self._keys.clear()
+
+    def on_trial(self, build: int) -> bool:
+        told = self.news  # the build last told of is on trial until its release, and any later one
+        return told is None or build > told.build - (told.phase is not Phase.RELEASED)
+
+    def _cap(self, build: int) -> float:
+        if self.news is None or build > self.news.build:  # not named yet: as in the first stage
+            return self._trial.caps[0] if self.news else 0.0
+        return self.news.cap if self.news.phase is Phase.TRIAL else 0.0
+
+    def _ledger(self, build: int, lane: Lane) -> Purse:
+        """Guards against hundreds of relays that each use the free number: theirs goes unused."""
+        at = build, lane if self._trial.by_lane else None
+        if at not in self._ledgers:
+            held, depth = (self._chance.random(), 2.0) if self._many else (inf, inf)
+            self._ledgers[at] = Purse(self._trial.window, held, depth)
+        return self._ledgers[at]
+
+    def take(self, lookup: Lookup, groups: dict[int, list[Server]], now: Ticks) -> None:
+        """Earns a part of a trip at each build on trial, no more than its servers' share, or they fill up."""
+        for build, servers in groups.items():
+            if self.on_trial(build):
+                share = len(servers) / max(1, sum(map(len, groups.values())) - len(servers))
+                self._ledger(build, lookup.lane).gain(self._cap(build), share)
+        if self._trial.keys_stay and lookup.key is not None:
+            self._seen.note(lookup.key, now)
+
+    def _tie(self, lookup: Lookup) -> int:  # the build that has answered its key: no earlier one may
+        return self._keys.get(lookup.key or "", -1)
+
+    def _guards(self, build: int, lookup: Lookup) -> bool:
+        stage = self.news.stage if self.news and build == self.news.build else 0
+        return stage < self._trial.guarded and lookup.lane.repeat is not Repeat.PURE
+
+    def hopeless(self, lookup: Lookup) -> bool:
+        return self.on_trial(self._tie(lookup)) and self._guards(self._tie(lookup), lookup)
+
+    def allows(self, build: int, lookup: Lookup, now: Ticks) -> bool:
+        if not self.on_trial(build) or build < self._tie(lookup):
+            return build >= self._tie(lookup)
+        cap, need = self._cap(build), 1.0
+        if cap <= 0 or self._guards(build, lookup):
+            return False
+        if self._trial.keys_stay and lookup.key is not None and build != self._tie(lookup):
+            # Popular keys would use up the cap of lookups that may go nowhere else: they come last.
+            need, rare = 2.0, 2 * self._trial.window * (1 - cap)
+            if lookup.taken - self._seen.before(lookup.key) < rare:
+                return False
+        purse = self._ledger(build, lookup.lane)
+        return min(self._trial.free + purse.least(now), purse.held) >= need
+
+    def spend(self, build: int, lookup: Lookup, now: Ticks) -> None:
+        if self.on_trial(build):
+            self._ledger(build, lookup.lane).spend(now)
+
+    def done(self, build: int, lookup: Lookup) -> None:
+        if self._trial.keys_stay and lookup.key and (self.news is None or build >= self.news.build):
+            self._keys[lookup.key] = max(build, self._tie(lookup))
+
+
+class Guards:
+    def __init__(
+        self, allowance: Allowance, duties: Duties, exposure: Exposure, roster: Roster, traffic: Traffic,
+        quota: float,
+    ) -> None:
+        self._allowance, self._duties, self.exposure = allowance, duties, exposure
+        self._roster, self._traffic, self._quota = roster, traffic, quota
+
+    def permitted(self, server: Server, lookup: Lookup, now: Ticks) -> bool:  # again right before each trip
+        return self.open(server, lookup, now) and self.exposure.allows(server.build, lookup, now)
+
+    def open(self, server: Server, lookup: Lookup, now: Ticks) -> bool:
+        ready = server.condition is Condition.READY
+        return ready and self.repeatable(server, lookup, now) and self._cold_room(server, now)
+
+    def hopeful(self, lookup: Lookup, now: Ticks) -> bool:  # may a unit take it, now or in a while?
+        ready = () if self.exposure.hopeless(lookup) else self._roster.ready
+        return any(self.repeatable(server, lookup, now) for server in ready)
+
+    def repeatable(self, server: Server, lookup: Lookup, now: Ticks) -> bool:
+        if lookup.over or len(lookup.trips) >= self._allowance.trips or now >= lookup.due:
+            return False
+        lane, ran = lookup.lane, [trip for trip in lookup.trips if trip.fate not in NEVER_RAN]
+        if not self._allowance.second_copies and any(trip.fate is None for trip in ran):
+            return False
+        if lane.repeat is not Repeat.RECEIPTED or not ran:
+            return lane.repeat is Repeat.PURE or not ran
+        zone, cell = ran[0].unit.zone == server.zone, ran[0].unit.cell == server.cell
+        group = {Scope.ALL: True, Scope.ZONE: zone, Scope.CELL: cell}
+        return group[lane.scope] and now < ran[0].sent + lane.memory - self._duties.tick
+
+    def _cold_room(self, server: Server, now: Ticks) -> bool:
+        """May a cold unit take one more? If each relay keeps to a multiple of its usual part there, all do;
+        parts of a trip go by lot, or hundreds that each send just one would push it over."""
+        sends, warm, duties = server.cold_sends, warmth(server, self._duties, now), self._duties
+        while sends and sends[0] <= now - duties.fall_time:
+            sends.popleft()
+        usual = max(self._traffic.done.read(now) / 4, self._quota / 2) / len(self._roster.ready)
+        budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND
+        return warm >= 1 or len(sends) + 1 <= budget + server.lot
--- a/lanelead/interface.py
+++ b/lanelead/decisions/interface.py
@@ -12,6 +12,8 @@
 from typing import Protocol
 
 Ticks = int
+SECOND: Ticks = 10_000
+LOADS = 84  # loads that one message between relays holds at the most
 
 
 class Repeat(Enum):
--- /dev/null
+++ b/lanelead/decisions/rollout.py
@@ -0,0 +1,103 @@
+"""What to vote on a build, and when: the score, the stage's clock, and the guards around both."""
+
+from math import ceil
+from random import Random
+
+from lanelead.decisions.interface import (
+    SECOND, Act, Control, Fate, News, Note, Phase, Poll, Ticks, Trial, Verdict, Vote,
+)
+from lanelead.decisions.scoring import FULL, Scoring
+from lanelead.decisions.servers import Roster, Traffic
+from lanelead.decisions.sums import z_score
+
+
+class Ballot:  # this relay's one vote: when to cast it, and when again
+    def __init__(self, poll: Poll, chance: Random) -> None:
+        self._poll, self._chance = poll, chance
+        self._cast: Vote | None = None
+        self._lapses, self._quiet = 0, 0  # when the vote must be cast again, and until when none may be
+
+    def hear(self, news: News, now: Ticks) -> None:
+        if news.answer and news.word is Fate.DONE:
+            self._quiet = now
+        elif news.answer:  # it may be lost: cast again, after a random time, since all relays lost theirs
+            self._cast = None
+            self._quiet = now + int(self._poll.answer_limit * self._chance.uniform(0.1, 0.5))
+
+    def cast(self, vote: Vote, now: Ticks) -> bool:  # due when new or about to lapse; 'back' waits not
+        fresh = vote != self._cast
+        due = self._quiet if fresh else max(self._quiet, self._lapses)
+        if now < due and not (fresh and vote.verdict is Verdict.BACK):
+            return False
+        self._cast, self._lapses = vote, now + self._poll.vote_life * 3 // 4
+        self._quiet = now + self._poll.answer_limit + SECOND
+        return True
+
+    def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
+        trial = news.phase is Phase.TRIAL
+        if (trial or news.phase is Phase.RELEASED) and (margin > 3 or (creep and ripe)):
+            return Verdict.BACK
+        if trial and self._poll.control is Control.AUTOMATIC:
+            return Verdict.HOLD if lately > 3 else Verdict.NONE if self._cast else None
+        return Verdict.ON if trial and ripe else None
+
+
+class Rollout:
+    """The build on trial as one relay sees it."""
+
+    def __init__(
+        self, trial: Trial, poll: Poll, watchers: int, scoring: Scoring, traffic: Traffic, chance: Random
+    ) -> None:
+        self._trial, self._poll, self._watchers, self._scoring = trial, poll, watchers, scoring
+        self._traffic, self.ballot = traffic, Ballot(poll, chance)
+        self.margin, self._stage, self.told, self._doubt, self.due = 0.0, (-1, 0), 0, 0, 0
+        self._wait = min(5 * SECOND, 5 * poll.least_stage or 5 * SECOND)  # scaled as stages are
+        self.calm, self.calm_rate = list[float](), 0.0  # slow answers at the end of each stage, from before
+
+    def lean(self) -> float:
+        # Waiting for a good build has a price, so the exposure that the cap allows is used, unless in doubt.
+        return 1 + 2 * self._poll.delay_price if self.margin <= 1 else 1
+
+    def hear(self, news: News, now: Ticks) -> None:
+        self.told = now - news.age
+        if (news.build, news.stage) != self._stage:
+            self._stage = news.build, news.stage
+            self._scoring.begin(news.build, self.told)
+            faults, outcomes = self._scoring.slowness(now)
+            if news.stage < 2:
+                self.calm, self.calm_rate = self.calm[: news.stage], self._traffic.busy.read(now)
+            self.calm += [faults / outcomes] if outcomes and len(self.calm) == news.stage else []
+
+    def look(self, news: News, roster: Roster, now: Ticks) -> list[Act]:
+        """The vote that is due, if one is."""
+        ready, new = roster.ready, roster.groups.get(news.build)
+        if not new:
+            return []
+        self.margin, _ = self._scoring.read(ready, now)
+        lately = self._scoring.read(ready, now, 3 * SECOND)[1] if self._poll.hold_votes else 0.0
+        # Machines listed late start the clock late; while most are set aside, nothing is learnt.
+        wait, places = self._wait, sum(s.build < news.build or self._trial.in_place for s in ready)
+        all_here = len(new) >= ceil(self._trial.shares[news.stage] * places - 1e-6)
+        shut = 2 * sum(server.aside > now for server in new) >= len(new)
+        self._doubt = now if self.margin > 1 else self._doubt
+        self.due = max(self.told, self._doubt, *(server.since for server in new)) + wait
+        # Guards against thin views that release what others doubt; where most must agree, watchers send back.
+        seen = self._poll.on_votes > self._watchers or self._scoring.seen >= 10
+        ripe = now >= self.due and seen and not shut and (all_here or now > self.told + 3 * wait)
+        verdict = self.ballot.verdict(news, ripe, self.margin, lately, self.creeping(news, now))
+        if verdict and self.ballot.cast(vote := Vote(news.build, news.stage, verdict), now):
+            return [vote, Note(f"{verdict.name} on build {news.build}: margin {self.margin:.1f}")]
+        return []
+
+    def creeping(self, news: News, now: Ticks) -> bool:
+        """Have most units grown slower since stage 1 than up to it, or far slower right at the release, but
+        not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
+        released, busier = news.phase is Phase.RELEASED, self._traffic.busy.read(now) > 1.3 * self.calm_rate
+        few = self._trial.shares[news.stage] < 1 / 3 or len(self.calm) <= max(1, news.stage)
+        if few or busier or (released and now - self.told > 10 * SECOND):
+            return False
+        (slow, many), before, first = self._scoring.slowness(now), self.calm[0], self.calm[1]
+        shed = self._traffic.shed.read(now) / max(100, self._traffic.taken.read(now))
+        slow += int(many * shed)  # those would have been
+        worse = before + max(self._poll.delay_price / (2 if released else 4), 1.5 * (first - before))
+        return many >= 100 and slow > worse * many and z_score(slow, many, before, FULL) > 3
--- a/lanelead/server.py
+++ b/lanelead/decisions/servers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from lanelead.door import LOADS
-from lanelead.interface import Condition, Coverage, Listing, Load, Ticks, Trip, Unit
-from lanelead.sums import Fading
+from lanelead.decisions.interface import (
+    LOADS, Condition, Coverage, Duties, Lane, Listing, Load, Sighting, Ticks, Trip, Unit,
+)
+from lanelead.decisions.sums import Fading
 
 
 class Server(Unit):
@@ -48,6 +49,41 @@
         self.groups = {build: [server for server in self.ready if server.build == build] for build in builds}
 
 
+class Traffic:
+    """What passes through one relay, each as a sum that decays."""
+
+    def __init__(self, span: Ticks) -> None:
+        self.taken, self.shed = Fading(span), Fading(span)  # lookups
+        self.copies, self.done = Fading(span), Fading(span)  # trips: second copies, and those done
+        self.busy = Fading(span)  # trips that kept a unit busy, at all relays that tell
+
+
+def warmth(unit: Unit, duties: Duties, now: Ticks) -> float:
+    """How much of its work a unit may be given, by how long ago it started: 1 once it is warm."""
+    age = now - unit.since
+    if unit.since <= 0 or age >= duties.cold_time:
+        return 1.0
+    return duties.cold_share + (1 - duties.cold_share) * max(0, age) / max(1, duties.cold_time)
+
+
+class Untold:
+    """Outcomes that this relay saw, or passes on, and has not told yet; one row a unit, lane and build."""
+
+    def __init__(self, kinds: int) -> None:
+        self._kinds = kinds
+        self._rows: dict[tuple[Server, Lane, int], Sighting] = {}
+
+    def note(self, server: Server, lane: Lane, outcomes: int, faults: Sequence[int]) -> None:
+        at = server, lane, server.build
+        seen = self._rows.setdefault(at, Sighting(*at, 0, [0] * self._kinds))
+        seen.outcomes += outcomes
+        seen.faults = [n + more for n, more in zip(seen.faults, faults, strict=True)]
+
+    def take(self) -> list[Sighting]:
+        rows, self._rows = [*self._rows.values()], {}
+        return rows
+
+
 class Outstanding:
     """Trips that the other relays have out at each unit: each told its own, or one told of all."""
 
@@ -91,3 +127,14 @@
         """The others' trips there at the most, 0 where nothing is known."""
         told = self._others.get(server, self._rest - len(server.out))
         return max(0, told) if self._at > now - self._span else 0
+
+
+class Tier:
+    """Some zones that stand equal, as one relay sees them."""
+
+    def __init__(self, span: Ticks) -> None:
+        self.full, self.present = 0.0, 0.0  # the size it had lately, and what of it is there and warm
+        self.ended, self.bad = Fading(span), Fading(span)  # outcomes, and those a full or lost tier gives
+        self.gone = 0.0  # the part of its lookups that are to pass it by
+        self.grant, self.held = 0.0, 0.0  # strangers let in: the part of the limit, and trips that may go now
+        self.distrust, self.failing = 0.0, False
--- a/lanelead/sums.py
+++ b/lanelead/decisions/sums.py
@@ -4,13 +4,14 @@
 
 from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import takewhile
 from math import exp, sqrt
 from typing import Generic, TypeVar
 
-from lanelead.interface import Lane, Ticks, Unit
+from lanelead.decisions.interface import SECOND, Lane, Ticks, Unit
 
 S = TypeVar("S", bound=Unit)
 F = TypeVar("F", bound=Enum)
@@ -122,6 +123,50 @@
             self.faults[fault] = self.faults.get(fault, 0) + many
 
 
+class Windows(Generic[S, F]):
+    """The outcomes of each lane at each server by the second, of the last `span`."""
+
+    def __init__(self, span: Ticks) -> None:
+        self._span = span
+        self.all: deque[Window[S, F]] = deque()  # the oldest first
+        self._open: dict[tuple[S, Lane], Window[S, F]] = {}
+
+    def add(self, server: S, lane: Lane, outcomes: int, faults: Mapping[F, int], now: Ticks) -> None:
+        window, second = self._open.get((server, lane)), now - now % SECOND
+        if window is None or (window.start, window.build) != (second, server.build):
+            window = self._open[server, lane] = Window(server, lane, server.build, second)
+            self.all.append(window)
+        window.add(outcomes, faults)
+        while self.all[0].start < now - self._span:
+            old = self.all.popleft()
+            if self._open[old.server, old.lane] is old:  # or units that are gone would be kept for good
+                del self._open[old.server, old.lane]
+
+    def since(self, start: Ticks) -> Iterator[Window[S, F]]:
+        """Those that began at `start` or later, the newest first."""
+        return takewhile(lambda window: window.start >= start, reversed(self.all))
+
+
+def filled(windows: Iterable[Window[S, F]], fill: int) -> list[Window[S, F]]:
+    """As few windows as hold `fill` outcomes each, by server and lane, none of them without any."""
+    rows: dict[tuple[S, Lane], list[Window[S, F]]] = {}
+    for w in windows:
+        row = rows.setdefault((w.server, w.lane), [])
+        if not row or row[-1].outcomes >= fill:
+            row.append(Window(w.server, w.lane, w.build, w.start))
+        row[-1].add(w.outcomes, w.faults)
+    return [window for row in rows.values() for window in row if window.outcomes]
+
+
+def shares(windows: Sequence[Window[S, F]]) -> dict[tuple[Lane, F], list[float]]:
+    """Of each kind of fault seen in a lane, its share of each of that lane's windows, in rising order."""
+    seen = {(window.lane, fault): None for window in windows for fault in window.faults}
+    return {
+        (lane, fault): sorted(w.faults.get(fault, 0) / w.outcomes for w in windows if w.lane is lane)
+        for lane, fault in seen
+    }
+
+
 def pooled(windows: Iterable[Window[S, F]]) -> dict[Lane | None, Window[S, F]]:
     """All windows as one of each lane, and one of all lanes."""
     base: dict[Lane | None, Window[S, F]] = {}
--- /dev/null
+++ b/lanelead/decisions/telling.py
@@ -0,0 +1,32 @@
+"""Who tells whom of a fleet: what relays saw, and what they have out."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from lanelead.decisions.interface import Place, Tell, Word
+
+CIRCLE = 8  # relays that tell each other directly, at most
+
+
+class Circle:
+    """A small circle tells all. Else a drawn hub hears what was seen and tells watchers, who can send back;
+    all hubs hear what is out, and tell all in turns. Guards against bytes by the square and lost hubs."""
+
+    def __init__(self, place: Place, back_votes: int, chance: Random) -> None:
+        self._number, self._relays, self._chance = place.number, place.relays, chance
+        self._hubs, self._beats = place.relays if place.relays <= CIRCLE else CIRCLE // 2, place.number
+        self.watchers = min(place.relays, max(self._hubs, back_votes * 5 // 4))
+        self.hub = place.number < self._hubs
+
+    def passes_on(self, sender: int) -> bool:
+        return self.hub and sender >= self._hubs
+
+    def letters(self, seen: Sequence[Word], out: Sequence[Word], in_all: Sequence[Word]) -> Iterable[Tell]:
+        both, self._beats = [*seen, *out], self._beats + 1
+        if self.hub:
+            letters = [(peer, both if peer < self._hubs else seen) for peer in range(self.watchers)]
+            letters += [(peer, in_all) for peer in range(self._hubs + self._beats % 4, self._relays, 4)]
+        else:
+            drawn = self._chance.randrange(self._hubs) if seen else -1
+            letters = [(hub, both if hub == drawn else out) for hub in range(self._hubs)]
+        yield from (Tell(peer, said) for peer, said in letters if said and peer != self._number)
--- a/lanelead/zones.py
+++ b/lanelead/decisions/zones.py
@@ -1,37 +1,19 @@
-"""Which zones a lookup may go to: a lost zone's traffic spills to the next tier by measure, and returns.
-
-`Spill` sits inside a `Relay`, which tells it what trips came to and asks it for the tiers open to a lookup;
-docs/zones.md has the mechanism. Without tiers all units are one, and nothing is decided here.
-"""
-
-from __future__ import annotations
+"""Which zones a lookup may go to, by docs/zones.md. Without tiers all are one: nothing is decided."""
 
 from collections.abc import Iterable, Iterator
 from math import exp
 from random import Random
 
-from lanelead.interface import Condition, Duties, Lookup, Preference, Repeat, Ticks
-from lanelead.server import Server
-from lanelead.sums import Fading
+from lanelead.decisions.interface import Condition, Duties, Lookup, Preference, Repeat, Ticks
+from lanelead.decisions.servers import Server, Tier, warmth
 
 ANYWHERE = Preference()
 Pools = dict[int, list[Server]]
 
 
-class Tier:
-    """Some zones that stand equal, as one relay sees them."""
-
-    def __init__(self, span: Ticks) -> None:
-        self.full, self.present = 0.0, 0.0  # the size it had lately, and what of it is there and warm
-        self.ended, self.bad = Fading(span), Fading(span)  # outcomes, and those a full or lost tier gives
-        self.gone = 0.0  # the part of its lookups that are to pass it by
-        self.grant, self.held = 0.0, 0.0  # strangers let in: the part of the limit, and trips that may go now
-        self.distrust, self.failing = 0.0, False
-
-
 class Spill:
     def __init__(
-        self, preference: Preference, duties: Duties, longest: Ticks, beat: Ticks, chance: Random,
+        self, preference: Preference, duties: Duties, longest: Ticks, beat: Ticks, chance: Random
     ) -> None:
         self._wants, self._duties, self._chance = preference, duties, chance
         self._longest, self._beat, self._rate, self._beats = longest, beat, 0.0, 0
@@ -48,34 +30,30 @@
             tier.ended.add(now, outcomes)
             tier.bad.add(now, bad)
 
-    def troubled(self, server: Server) -> bool:
-        """Guards against blaming a build for its zone: slowness in a lost or full tier is the tier's."""
+    def troubled(self, server: Server) -> bool:  # guards against blaming a build for its lost or full zone
         return bool(self.tiers) and self.tiers[self.place(server)].gone > 0.25
 
     def left(self, lookup: Lookup) -> None:
         self._draws.pop(lookup, None)
 
     def beat(self, servers: Iterable[Server], taken: float, trial: bool, now: Ticks) -> None:
-        """Brings what is known of each tier up to date, once a beat. `taken`: lookups, a sum that decays over
-        4 s; `trial`: a build is on trial, whose machines may stand beside the others for a while."""
+        """Once a beat. `taken`: lookups, a sum over 4 s; `trial`: a build's machines may stand beside."""
         if not self.tiers:
             return
-        steps = self._beat / max(1, self._duties.cold_time)
+        self._beats, steps = self._beats + 1, self._beat / max(1, self._duties.cold_time)
         sizes, silent = [0.0] * len(self.tiers), [0] * len(self.tiers)
         for server in servers:
             if server.condition is Condition.READY:
                 place = self.place(server)
-                sizes[place] += server.size * self._warmth(server, now)
+                sizes[place] += server.size * warmth(server, self._duties, now)
                 late = (trip for trip in server.out if now - trip.sent > trip.lookup.lane.expected_time // 2)
                 silent[place] += sum(1 for _ in late)
         troubled = any(tier.gone > 0 for tier in self.tiers)
         # What is usual is learnt while all is well: lookups that a lost zone has tried again are no demand.
-        self._beats += 1
         rate = taken / (4 * (1 - exp(-self._beats * self._beat / 40_000)))  # a sum that has just begun is low
         self._rate += (rate - self._rate) * max(1 / self._beats, steps / (20 if troubled else 2))
         for place, tier in enumerate(self.tiers):
-            # Learnt over some warm-ups, or what a release drains would look like a lost zone; and forgotten
-            # over a hundred, for a tier may shrink for good.
+            # Learnt over some warm-ups, or what a release drains would look like a lost zone.
             if sizes[place] > tier.full and not trial:
                 tier.full += (sizes[place] - tier.full) * max(1 / self._beats, steps / 5)
             else:
@@ -84,12 +62,6 @@
             self._judge(tier, silent[place], steps, now)
             self._admit(place, tier, now)
 
-    def _warmth(self, server: Server, now: Ticks) -> float:
-        age, duties = now - server.since, self._duties
-        if server.since <= 0 or age >= duties.cold_time:
-            return 1.0
-        return duties.cold_share + (1 - duties.cold_share) * max(0, age) / max(1, duties.cold_time)
-
     def _judge(self, tier: Tier, silent: int, steps: float, now: Ticks) -> None:
         listed = 1 - tier.present / tier.full if tier.full else 1.0
         ended, bad = tier.ended.read(now) + silent, tier.bad.read(now) + silent
@@ -107,9 +79,7 @@
             if tier.gone < 0.1:
                 tier.distrust = max(0.0, tier.distrust - steps / 10)
 
-    def limit(self, place: int) -> float:
-        """Trips a second that strangers from here may make at a tier: the stated part of what its units
-        would do for this relay if they were its own."""
+    def limit(self, place: int) -> float:  # trips a second that strangers may make at a tier
         home, tier = self.tiers[0], self.tiers[place]
         return self._wants.most * self._rate * tier.present / home.full if home.full else self._rate
 
@@ -128,8 +98,7 @@
         most = max(3.0, more * self._longest / self._beat / 2)
         tier.held = min(most, tier.held + more * self._chance.uniform(0.5, 1.5))
 
-    def _order(self, lookup: Lookup) -> list[list[int]]:
-        """The tiers that a lookup may use now, the best first; the next counts where one has no room."""
+    def _order(self, lookup: Lookup) -> list[list[int]]:  # the tiers that it may use now, the best first
         draw = self._draws.setdefault(lookup, self._chance.random())
         tried = {self._place.get(trip.unit.zone, len(self.tiers) - 1) for trip in lookup.trips}
         if lookup.trips and lookup.lane.repeat is Repeat.RECEIPTED:
--- a/lanelead/door.py
+++ b/lanelead/hosting/door.py
@@ -9,13 +9,12 @@
 from collections.abc import Callable, Mapping, Sequence
 from struct import Struct
 
-from lanelead.interface import Condition, Lane, Load, Sighting, Unit, Word
+from lanelead.decisions.interface import LOADS, Condition, Lane, Load, Sighting, Unit, Word
 
 KINDS = 5  # kinds of fault in a sighting
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
 LOAD = Struct(">HB")  # a load: unit mark, trips out
 MESSAGE = 256  # the most bytes of one message between relays
-LOADS = (MESSAGE - 3) // LOAD.size  # the most loads in one
 FORM, COUNT = 1, 5  # the messages' form, above the bits that count sightings: relays of two versions meet
 
 
--- a/lanelead/opening.py
+++ b/lanelead/hosting/opening.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, TypeVar
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     Allowance,
     Control,
     Duties,
--- a/lanelead/model/baselines.py
+++ b/lanelead/model/baselines.py
@@ -9,77 +9,101 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from math import exp, log
 from typing import Any
 
-from lanelead.interface import Fate, Lookup, News, Phase, Report, Ticks, Trip, Verdict
-from lanelead.rules import SECOND, Ballot, Fault, Relay
-from lanelead.server import Server
+from lanelead.decisions.interface import SECOND, Fate, Lookup, News, Phase, Poll, Report, Ticks, Trip, Verdict
+from lanelead.decisions.choosing import Choice, Pair, Some
+from lanelead.decisions.rollout import Ballot
+from lanelead.decisions.rules import Relay
+from lanelead.decisions.scoring import Fault
+from lanelead.decisions.servers import Server, mine
 
 
-class _Choice(Relay):
+class _Ranked(Choice):
     """Relays whose two choices are exchanged: `rank` orders the units that may be had."""
 
-    def _two(self, servers: Sequence[Server], lookup: Lookup, asked: Sequence[Server]) -> list[Server]:
+    def two(self, servers: Some, lookup: Lookup, now: Ticks, asked: Some) -> Pair:
         fit = [
             server
             for server in servers
-            if server not in asked and server.aside <= self.now and self._open(server, lookup)
+            if server not in asked and server.aside <= now and self.guards.open(server, lookup, now)
         ]
-        return self.rank(fit)[:2] if fit else []
+        return self.rank(fit, now)[:2] if fit else []
 
-    def rank(self, fit: list[Server]) -> list[Server]:
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
         raise NotImplementedError
 
 
-class Anyone(_Choice):
-    def rank(self, fit: list[Server]) -> list[Server]:
-        return self._chance.sample(fit, min(2, len(fit)))
+class _Anyone(_Ranked):
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
+        return self.chance.sample(fit, min(2, len(fit)))
 
 
-class LeastOfTwo(_Choice):
-    def rank(self, fit: list[Server]) -> list[Server]:
-        return sorted(self._chance.sample(fit, min(2, len(fit))), key=lambda server: len(server.out))
+class _LeastOfTwo(_Ranked):
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
+        return sorted(self.chance.sample(fit, min(2, len(fit))), key=lambda server: len(server.out))
 
 
-class LeastOfAll(_Choice):
-    def rank(self, fit: list[Server]) -> list[Server]:
+class _LeastOfAll(_Ranked):
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
         least = min(len(server.out) for server in fit)
-        return [self._chance.choice([server for server in fit if len(server.out) == least])]
+        return [self.chance.choice([server for server in fit if len(server.out) == least])]
 
 
-class RoundRobin(_Choice):
+class _RoundRobin(_Ranked):
     _turn = 0
 
-    def rank(self, fit: list[Server]) -> list[Server]:
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
         self._turn += 1
         return [fit[self._turn % len(fit)]]
 
 
-class PeakEwma(_Choice):
+class Peaks(_Ranked):
     DECAY: Ticks = 10 * SECOND
 
-    def __init__(self, **given: Any) -> None:
-        super().__init__(**given)
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
         self._peaks = dict[Server, tuple[float, Ticks]]()
 
-    def _peak(self, server: Server) -> float:
-        cost, at = self._peaks.get(server, (0.0, self.now))
-        return cost * exp((at - self.now) / self.DECAY)
+    def _peak(self, server: Server, now: Ticks) -> float:
+        cost, at = self._peaks.get(server, (0.0, now))
+        return cost * exp((at - now) / self.DECAY)
 
-    def ended(self, trip: Trip, fate: Fate, closed: bool, took: Ticks, report: Report | None) -> None:
-        server = trip.unit
-        assert isinstance(server, Server)
-        before = self._peak(server)
-        weight = exp(-(self.now - self._peaks.get(server, (0, self.now))[1]) / self.DECAY)
+    def took(self, server: Server, took: Ticks, now: Ticks) -> None:
+        before = self._peak(server, now)
+        weight = exp(-(now - self._peaks.get(server, (0, now))[1]) / self.DECAY)
         cost = took if took > before else before * weight + took * (1 - weight)
-        self._peaks[server] = cost, self.now
-        super().ended(trip, fate, closed, took, report)
+        self._peaks[server] = cost, now
+
+    def rank(self, fit: list[Server], now: Ticks) -> list[Server]:
+        two = self.chance.sample(fit, min(2, len(fit)))
+        return sorted(two, key=lambda server: (1 + self._peak(server, now)) * (1 + len(server.out)))
+
+
+class Anyone(Relay):
+    chooses = _Anyone
+
+
+class LeastOfTwo(Relay):
+    chooses = _LeastOfTwo
 
-    def rank(self, fit: list[Server]) -> list[Server]:
-        two = self._chance.sample(fit, min(2, len(fit)))
-        return sorted(two, key=lambda server: (1 + self._peak(server)) * (1 + len(server.out)))
+
+class LeastOfAll(Relay):
+    chooses = _LeastOfAll
+
+
+class RoundRobin(Relay):
+    chooses = _RoundRobin
+
+
+class PeakEwma(Relay):
+    chooses = Peaks
+
+    def ended(self, trip: Trip, fate: Fate, closed: bool, took: Ticks, report: Report | None) -> None:
+        assert isinstance(self._choice, Peaks)
+        self._choice.took(mine(trip.unit), took, self.now)
+        super().ended(trip, fate, closed, took, report)
 
 
 class _Voter(Relay):
@@ -87,21 +111,24 @@
 
     def __init__(self, **given: Any) -> None:
         super().__init__(**given)
-        self._ballot = _Exchanged(self)
+        self._rollout.ballot = _Exchanged(self, given["poll"])
 
     def judged(self, news: News, ripe: bool) -> Verdict | None:
         raise NotImplementedError
 
+    def aged(self) -> bool:
+        return self.now - self._rollout.told > 5 * SECOND
+
     def errors(self, news: News) -> tuple[int, int]:
         """Errors and outcomes seen at the build on trial in this stage's windows."""
-        windows = [w for w in self._scoring._since(self._told) if w.build == news.build]
+        windows = [w for w in self._scoring.windows.since(self._rollout.told) if w.build == news.build]
         bad = (Fault.BROKEN, Fault.SILENT)
         return sum(w.faults.get(f, 0) for w in windows for f in bad), sum(w.outcomes for w in windows)
 
 
 class _Exchanged(Ballot):
-    def __init__(self, relay: _Voter) -> None:
-        super().__init__(relay._poll, relay._chance)
+    def __init__(self, relay: _Voter, poll: Poll) -> None:
+        super().__init__(poll, relay._chance)
         self._relay = relay
 
     def verdict(self, news: News, ripe: bool, margin: float, lately: float, creep: bool) -> Verdict | None:
@@ -112,7 +139,7 @@
     """On after a while, whatever is seen; never back."""
 
     def judged(self, news: News, ripe: bool) -> Verdict | None:
-        return Verdict.ON if news.phase is Phase.TRIAL and self.now - self._told > 5 * SECOND else None
+        return Verdict.ON if news.phase is Phase.TRIAL and self.aged() else None
 
 
 class ErrorLimit(_Voter):
@@ -122,7 +149,7 @@
         errors, outcomes = self.errors(news)
         if outcomes >= 20 and errors > 0.05 * outcomes:
             return Verdict.BACK
-        return Verdict.ON if news.phase is Phase.TRIAL and self.now - self._told > 5 * SECOND else None
+        return Verdict.ON if news.phase is Phase.TRIAL and self.aged() else None
 
 
 class Sequential(_Voter):
--- a/lanelead/model/circle.py
+++ b/lanelead/model/circle.py
@@ -14,7 +14,7 @@
 
 from lanelead.circle.letters import ALIVE, DEAD, Row
 from lanelead.circle.members import Address, Change, Membership, Tempo
-from lanelead.interface import Ticks
+from lanelead.decisions.interface import Ticks
 
 SECOND: Ticks = 10_000
 PORT = 7946
--- a/lanelead/model/policies.py
+++ b/lanelead/model/policies.py
@@ -1,13 +1,13 @@
-"""Other ways to spill, for comparison only: same face as `lanelead.zones.Spill`, never used by a relay."""
+"""Other ways to spill, for comparison only: with the face of `zones.Spill`, never used by a relay."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
 from random import Random
 
-from lanelead.interface import Condition, Duties, Lookup
-from lanelead.server import Server
-from lanelead.zones import Pools
+from lanelead.decisions.interface import Condition, Duties, Lookup
+from lanelead.decisions.servers import Server
+from lanelead.decisions.zones import Pools
 
 Tiers = tuple[tuple[str, ...], ...]
 
--- a/lanelead/model/world.py
+++ b/lanelead/model/world.py
@@ -17,7 +17,7 @@
 from random import Random
 from typing import Any
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     Allowance,
     BreakOff,
     CallOff,
@@ -49,7 +49,7 @@
     Wake,
     Word,
 )
-from lanelead.rules import Relay
+from lanelead.decisions.rules import Relay
 
 SECOND: Ticks = 10_000
 START: Ticks = 3600 * SECOND
--- a/lanelead/node/config.py
+++ b/lanelead/node/config.py
@@ -9,8 +9,8 @@
 import msgspec
 from msgspec import Meta
 
-from lanelead.opening import Malformed as Unread
-from lanelead.opening import Opening, pairs_of
+from lanelead.hosting.opening import Malformed as Unread
+from lanelead.hosting.opening import Opening, pairs_of
 from lanelead.protocols.platform import Endpoints, State, address
 from lanelead.protocols.records import Malformed, decode
 
--- a/lanelead/node/desk.py
+++ b/lanelead/node/desk.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from lanelead.http.calls import connect
-from lanelead.interface import Fate, Vote
+from lanelead.decisions.interface import Fate, Vote
 from lanelead.protocols.platform import VERDICTS, WORDS, Line, address, asked, state
 from lanelead.protocols.records import Lines, Malformed, NewsLine, decode
 from lanelead.settings.records import Address
--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from lanelead.interface import Member, Ticks, Trip
+from lanelead.decisions.interface import Member, Ticks, Trip
 from lanelead.pgwire import messages, statements
 from lanelead.pgwire.clients import ClientReader, Encryption, Event, Fault, Query, Startup
 from lanelead.pgwire.units import Answer
--- a/lanelead/node/links.py
+++ b/lanelead/node/links.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lanelead.interface import Condition, Fate, Report, Ticks, Trip, Unit
+from lanelead.decisions.interface import Condition, Fate, Report, Ticks, Trip, Unit
 from lanelead.pgwire import messages
 from lanelead.pgwire.statements import Statement
 from lanelead.pgwire.units import Answer, Progress, UnitReader
--- a/lanelead/protocols/datagrams.py
+++ b/lanelead/protocols/datagrams.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from struct import Struct
 
-from lanelead.door import MESSAGE
+from lanelead.hosting.door import MESSAGE
 
 HEAD = Struct(">4sHHI")  # magic with version, sender, length of the payload, count of the sender's datagrams
 MAGIC = b"LLP1"
--- a/lanelead/protocols/platform.py
+++ b/lanelead/protocols/platform.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Meta
 
-from lanelead.interface import Fate, Verdict
+from lanelead.decisions.interface import Fate, Verdict
 from lanelead.protocols.records import Build, Listed, Malformed, NewsLine, Positive, Row, Whole, decode
 
 PHASES = {"testing": "trial", "recalling": "reverting", "live": "released", "recalled": "withdrawn"}
--- a/lanelead/relay/circle.py
+++ b/lanelead/relay/circle.py
@@ -11,7 +11,7 @@
 
 from lanelead.circle.letters import ALIVE, STATES, Row
 from lanelead.circle.members import Address, Membership, Tempo
-from lanelead.interface import Ticks
+from lanelead.decisions.interface import Ticks
 from lanelead.protocols import datagrams
 from lanelead.settings import records
 
--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -14,8 +14,8 @@
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
-from lanelead.door import Door, pack, unpack
-from lanelead.interface import (
+from lanelead.hosting.door import Door, pack, unpack
+from lanelead.decisions.interface import (
     Act,
     BreakOff,
     CallOff,
--- a/lanelead/relay/links.py
+++ b/lanelead/relay/links.py
@@ -18,7 +18,7 @@
 
 from lanelead.http import writing
 from lanelead.http.answers import Answer, AnswerReader, Progress
-from lanelead.interface import Fate, Report, Ticks, Trip, Unit
+from lanelead.decisions.interface import Fate, Report, Ticks, Trip, Unit
 from lanelead.protocols.records import Load, Malformed, decode
 from lanelead.relay.driver import Destination, Driver, Ticket
 
--- a/lanelead/relay/timing.py
+++ b/lanelead/relay/timing.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from lanelead.interface import Ticks
+from lanelead.decisions.interface import Ticks
 
 EPOCH: Ticks = 36_000_000  # the clock at the start: an hour, so that units older than the relay have a past
 
--- a/lanelead/settings/records.py
+++ b/lanelead/settings/records.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from lanelead import interface
-from lanelead.interface import Control, Repeat, Scope, Ticks
+from lanelead.decisions import interface
+from lanelead.decisions.interface import Control, Repeat, Scope, Ticks
 
 
 def ticks(ms: float) -> Ticks:
--- a/lanelead/standins/saboteur.py
+++ b/lanelead/standins/saboteur.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from typing import Any
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     BreakOff,
     Condition,
     Coverage,
--- a/lanelead/steps/join.py
+++ b/lanelead/steps/join.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Iterable
 
-from lanelead.interface import Ticks, Trip
+from lanelead.decisions.interface import Ticks, Trip
 from lanelead.protocols.records import Malformed
 from lanelead.protocols.steps import Logged
 from lanelead.steps.record import Broken, Record, Stand
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -4,11 +4,11 @@
 
 from random import Random
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     Act, Allowance, BreakOff, Condition, Control, Coverage, Duties, Fate, Lane, Listing, Lookup, News, Phase,
     Place, Poll, Repeat, Scope, Send, Shed, Tariff, Ticks, Trial, Trip, Unit, Vote, Wake,
 )
-from lanelead.rules import Relay
+from lanelead.decisions.rules import Relay
 
 SECOND: Ticks = 10_000
 PURE = Lane("read", SECOND, 4 * SECOND, 1.0, 0.0, Repeat.PURE, Scope.ALL, 0, False, 0.0)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -6,7 +6,7 @@
 import unittest
 
 from lanelead.benchlink.host import serve
-from lanelead.opening import Malformed
+from lanelead.hosting.opening import Malformed
 
 BEGIN = (
     "BEGIN 7 me=0 instances=2 zone=z discovery=automatic requestClasses.count=1 requestClasses.0.name=read "
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -25,7 +25,7 @@
     write,
 )
 from lanelead.circle.members import Membership, Tempo
-from lanelead.door import MESSAGE
+from lanelead.hosting.door import MESSAGE
 from lanelead.model.circle import SECOND, Town, Wires
 
 TEMPO = Tempo(3000, 60 * SECOND)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -12,7 +12,7 @@
 
 from lanelead.http.answers import Answer
 from lanelead.http.asks import Ask
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     Allowance,
     Control,
     Duties,
@@ -31,7 +31,8 @@
 )
 from lanelead.protocols.records import Listed, NewsLine, Row
 from lanelead.relay.driver import Driver, Outcome, Ticket
-from lanelead.rules import NEVER_RAN, Relay
+from lanelead.decisions.guards import NEVER_RAN
+from lanelead.decisions.rules import Relay
 
 SECOND: Ticks = 10_000
 LANES = [
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from lanelead.interface import Fate, Lookup, Trip, Verdict, Vote
+from lanelead.decisions.interface import Fate, Lookup, Trip, Verdict, Vote
 from lanelead.protocols.records import Malformed, NewsLine
 from lanelead.protocols.steps import AppendAsk, Entry, LeaseAsk, Logged, Page
 from lanelead.settings.records import Demands, Need, Steps
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -19,7 +19,7 @@
 from lanelead.model.baselines import POLICIES, LeastOfAll, LeastOfTwo
 from lanelead.model.core import Clock, stream
 from lanelead.model.town import Town
-from lanelead.rules import Relay
+from lanelead.decisions.rules import Relay
 from lanelead.settings.read import read_text
 from lanelead.settings.records import Day
 from lanelead.standins.saboteur import SEAMS
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from unittest import mock
 
-from lanelead.interface import Fate, Verdict, Vote
+from lanelead.decisions.interface import Fate, Verdict, Vote
 from lanelead.node import front
 from lanelead.node.links import report_of
 from lanelead.pgwire import messages
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -4,9 +4,20 @@
 
 import unittest
 
-from lanelead.door import LOADS, MESSAGE, Door, pack, unpack
-from lanelead.interface import Close, Condition, Fate, Load, Probe, Sighting, Tell, Unit, Word
-from lanelead.server import Outstanding, Server
+from lanelead.hosting.door import MESSAGE, Door, pack, unpack
+from lanelead.decisions.interface import (
+    LOADS,
+    Close,
+    Condition,
+    Fate,
+    Load,
+    Probe,
+    Sighting,
+    Tell,
+    Unit,
+    Word,
+)
+from lanelead.decisions.servers import Outstanding, Server
 from tests.fake import EFFECTFUL, PURE, SECOND, FakeHost
 
 DEAR = 0.08
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 import unittest
 
 from lanelead.http import writing
-from lanelead.interface import Condition
+from lanelead.decisions.interface import Condition
 from tests.town import Client, Handler, ScriptedUnit, live, resets, says, state_of, town
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,12 +4,12 @@
 
 import unittest
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     BreakOff, Close, Condition, Control, Fate, Lane, News, Phase, Probe, Send, Shed, Sighting, Verdict,
 )
-from lanelead.rules import FULL, Fault, Scoring, View
-from lanelead.server import mine
-from lanelead.sums import z_score
+from lanelead.decisions.scoring import FULL, Fault, Scoring, View
+from lanelead.decisions.servers import mine
+from lanelead.decisions.sums import z_score
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 
@@ -218,7 +218,7 @@
         unit = host.listed(2, since=host.relay.now)
         host.run(6 * SECOND)
         self.assertEqual(host.votes(), [])
-        ballot = host.relay._ballot
+        ballot = host.relay._rollout.ballot
         told = News(2, 0, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
         self.assertEqual(ballot.verdict(told, True, 0.0, 3.1, False), Verdict.HOLD)
         self.assertEqual((ballot.verdict(told, True, 0.0, 2.9, False), unit.build), (None, 2))
@@ -241,13 +241,13 @@
             for stage, slow in enumerate(shares[:3]):
                 for unit in host.units:
                     host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: slow}, host.relay.now, 100)
-                host.relay._calm_rate = 1.0
+                host.relay._rollout.calm_rate = 1.0
                 host.news(2, stage, Phase.TRIAL, 0.1)
                 host.run(20 * SECOND)
             for unit in host.units:
                 host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: shares[3]}, host.relay.now, 100)
             told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
-            self.assertEqual(host.relay._creeping(told), verdict is Verdict.BACK)
+            self.assertEqual(host.relay._rollout.creeping(told, host.relay.now), verdict is Verdict.BACK)
 
     def test_it_goes_back_in_the_first_stage_that_has_a_third_of_the_units(self) -> None:
         # wide on sockets: three stages, of which the second has most units, and it was left to the third.
@@ -256,15 +256,16 @@
             for stage in (0, 1):
                 for unit in host.units:
                     host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: first}, host.relay.now, 100)
-                host.relay._calm_rate = 1.0
+                host.relay._rollout.calm_rate = 1.0
                 host.news(2, stage, Phase.TRIAL, 0.1)
                 host.run(20 * SECOND)
-            host.relay._calm_rate = 1000.0
+            host.relay._rollout.calm_rate = 1000.0
             for unit in host.units:
                 host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: last}, host.relay.now, 100)
             for stage in (0, 1):
                 told = News(2, stage, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
-                self.assertEqual(host.relay._creeping(told), slows and stage == 1, (first, last, stage))
+                creeps = host.relay._rollout.creeping(told, host.relay.now)
+                self.assertEqual(creeps, slows and stage == 1, (first, last, stage))
 
 
 class Arithmetic(unittest.TestCase):
@@ -343,7 +344,7 @@
         host = FakeHost()
         for faults, trips in (({}, 10), ({Fault.BROKEN: 10}, 10), ({Fault.SLOW: 10}, 20)):
             host.relay._count(mine(host.units[0]), PURE, faults, 10, False)
-            self.assertEqual(host.relay._trips.read(0), trips)
+            self.assertEqual(host.relay._traffic.busy.read(0), trips)
 
     def test_a_client_in_haste_is_no_fault_of_a_server(self) -> None:
         # rough-2 of kortfjell-prod, grown: one customer's short tries sent a good build back.
@@ -351,7 +352,7 @@
             host = FakeHost()
             host.run(6 * SECOND)
             host.end(host.sent(host.ask(PURE, left=took))[0], Fate.TIMED_OUT, took)
-            windows = host.relay._scoring._windows
+            windows = host.relay._scoring.windows.all
             self.assertEqual(sum(Fault.SILENT in window.faults for window in windows), silent)
 
     def test_work_that_is_always_late_is_sent_in_part(self) -> None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -7,7 +7,7 @@
 from math import exp
 from random import Random
 
-from lanelead.interface import (
+from lanelead.decisions.interface import (
     Condition,
     Duties,
     Fate,
@@ -23,9 +23,9 @@
 )
 from lanelead.model.policies import AllAtOnce, HealthShare, NoSpill
 from lanelead.model.world import Plan, World
-from lanelead.rules import Fault
-from lanelead.server import Server, mine
-from lanelead.zones import Spill
+from lanelead.decisions.scoring import Fault
+from lanelead.decisions.servers import Server, mine
+from lanelead.decisions.zones import Spill
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 DUTIES = Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 4.0, SECOND, False, 0, 50)
@@ -269,7 +269,7 @@
         relay._spill = Spill(Preference((("z",), ("y",))), DUTIES, SECOND, BEAT, Random(1))
         relay._spill.tiers[0].gone = 0.8
         relay._count(mine(host.units[0]), PURE, {Fault.SLOW: 3, Fault.BROKEN: 2}, 10, False)
-        self.assertEqual(relay._scoring._windows[-1].faults, {Fault.BROKEN: 2})
+        self.assertEqual(relay._scoring.windows.all[-1].faults, {Fault.BROKEN: 2})
         self.assertGreater(relay._spill.tiers[0].bad.read(relay.now), 0)
 
     def test_without_tiers_all_units_are_one(self) -> None:
