--- a/lanelead/decisions/rollout.py
+++ b/lanelead/decisions/rollout.py
@@ -90,10 +90,10 @@
 
     def creeping(self, news: News, now: Ticks) -> bool:
         """Have most units grown slower since stage 1 than up to it, or far slower right at the release, but
-        not busier? Guards against a build that slows all alike. Only who hears of all units can tell."""
+        not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
         released, busier = news.phase is Phase.RELEASED, self._traffic.busy.read(now) > 1.3 * self.calm_rate
         few = self._trial.shares[news.stage] < 1 / 3 or len(self.calm) <= max(1, news.stage)
-        if few or busier or not self._circle.watches or (released and now - self.told > 10 * SECOND):
+        if few or busier or (released and now - self.told > 10 * SECOND):
             return False
         (slow, many), before, first = self._scoring.slowness(now), self.calm[0], self.calm[1]
         shed = self._traffic.shed.read(now) / max(100, self._traffic.taken.read(now))
--- a/lanelead/decisions/rules.py
+++ b/lanelead/decisions/rules.py
@@ -36,7 +36,7 @@
         # A choice takes two to four probes: where they cost over a tenth of a lookup, letters tell instead.
         self._asks = many and allowance.probes and 4 * tariff.probe <= 0.1
         self._tells, self._out = many and allowance.peers and not self._asks, Outstanding(SECOND)
-        self._spares = self._tells and tariff.handshake > 0
+        self._spares, self._suspect = self._tells and tariff.handshake > 0, max(0.02, 2.5 * tariff.handshake)
         told = many and self._circle.watches  # much is told to it: it looks less often
         self._beat = SECOND // (5 if not told else 2 if self._circle.watchers <= CIRCLE else 1)
         self._quotas = sum(member.quota for member in members)
@@ -138,7 +138,7 @@
 
     def _let_go(self, server: Server) -> None:
         """Guards against connections that drop unseen: many lost trips end all; if dear, one its unit's."""
-        many = self._lost.read(self.now) > 0.02 * self._traffic.taken.read(self.now)
+        many = self._lost.read(self.now) > self._suspect * self._traffic.taken.read(self.now)
         if not server.out and (server.mute if self._spares else many):
             self.acts.append(Close(server))
 
@@ -147,7 +147,7 @@
         self.acts.append(Wake(min(at for at in times if at > self.now), None))
         news, ready = self._exposure.news, self._roster.ready
         out, in_all = self._out.own(ready) if self._tells else [], list[Word]()
-        if self._circle.hub:
+        if self._tells and self._circle.hub:
             in_all += (loads := self._out.add(out, self.now))
             in_all += self._pacing.measure(sum(load.trips for load in loads), 10, self.now)
         self.acts += self._circle.letters(self._untold.take(), out, in_all)
@@ -230,7 +230,7 @@
         """Guards against work late whatever is done: a member's lane seldom timely is sent in part."""
         ended, timely = (fare.read(self.now) for fare in self._fares[lookup.member, lookup.lane])
         if (took := self._pacing.took(self.now)) is None:  # no hub tells: what was seen here counts
-            return self._chance.random() > 1.5 * (2 + timely) / (2 + ended)
+            return self._chance.random() > 3 * (1 + timely) / (1 + 2 * ended)
         excess = 1 - self._least / max(1, took)
         rates = {lane: rate.read(self.now) for lane, rate in self._rates.items()}
         less = sum(rate for lane, rate in rates.items() if lane.worth < lookup.lane.worth)
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -149,6 +149,14 @@
         paces = [word.took for word in heard if isinstance(word, Pace)]
         self.assertAlmostEqual(2, paces[-1] / SECOND, delta=0.2)
 
+    def test_where_nothing_is_told_of_trips_no_pace_is_either(self) -> None:
+        # rough-2 of kortfjell-prod: hubs that heard of no trips told a pace of nothing, and no relay shed.
+        host = FakeHost(probes=True, relays=100, number=0, probe_price=0.01)
+        for _ in range(60):
+            host.run(SECOND // 20)
+            host.relay.heard(40, [Sighting(host.units[0], PURE, 1, 7, [0] * 5)])
+        self.assertFalse([act for act in host.acts if isinstance(act, Tell) and Pace(0) in act.words])
+
     def answers(self, host: FakeHost, took: int | None) -> dict[Lane, float]:
         """The part of each lane's lookups that is sent, with a pace told all along."""
         sent, many = dict.fromkeys((PURE, EFFECTFUL), 0), 60
