--- a/benchmarks/relay_path.py
+++ b/benchmarks/relay_path.py
@@ -32,10 +32,10 @@
 from lanelead.http import writing
 from lanelead.http.answers import AnswerReader, Progress
 from lanelead.http.asks import Ask, AskReader
+from lanelead.http.serving import Caller
 from lanelead.protocols.records import Row
 from lanelead.standins.desk import Desk
 from lanelead.standins.roster import Roster
-from lanelead.http.serving import Caller
 
 ANSWER = writing.answer(200, [(b"content-type", b"text/plain")], b"x" * 100)
 FIELDS = [
--- a/lanelead/model/baselines.py
+++ b/lanelead/model/baselines.py
@@ -12,8 +12,8 @@
 from math import exp, log
 from typing import Any
 
-from lanelead.decisions.interface import SECOND, Fate, Lookup, News, Phase, Poll, Report, Ticks, Trip, Verdict
 from lanelead.decisions.choosing import Choice, Pair, Some
+from lanelead.decisions.interface import SECOND, Fate, Lookup, News, Phase, Poll, Report, Ticks, Trip, Verdict
 from lanelead.decisions.rollout import Ballot
 from lanelead.decisions.rules import Relay
 from lanelead.decisions.scoring import Fault
--- a/lanelead/model/town.py
+++ b/lanelead/model/town.py
@@ -16,8 +16,6 @@
 
 import msgspec
 
-from lanelead.http.answers import Answer
-from lanelead.http.asks import Ask
 from lanelead.decisions.interface import (
     Decisions,
     Fate,
@@ -30,15 +28,17 @@
     Unit,
     Vote,
 )
+from lanelead.decisions.rules import Relay
+from lanelead.decisions.zones import ANYWHERE
+from lanelead.http.answers import Answer
+from lanelead.http.asks import Ask
 from lanelead.model.core import Clock, Story, stream
 from lanelead.protocols.records import Listed, NewsLine, Row, VoteAsk
 from lanelead.relay.driver import VERDICTS, WORDS, Driver, Outcome, Ticket
-from lanelead.decisions.rules import Relay
 from lanelead.settings import records
 from lanelead.standins.demand import Demand, Op
 from lanelead.standins.engine import Build, Engine, Life
 from lanelead.standins.polling import Polling
-from lanelead.decisions.zones import ANYWHERE
 
 START = 3600.0  # the clock at the start: units have a past
 ASK = Ask("GET", b"/", [], b"", True)
--- a/lanelead/node/desk.py
+++ b/lanelead/node/desk.py
@@ -9,8 +9,8 @@
 from random import Random
 from typing import Any
 
-from lanelead.http.calls import connect
 from lanelead.decisions.interface import Fate, Vote
+from lanelead.http.calls import connect
 from lanelead.protocols.platform import VERDICTS, WORDS, Line, address, asked, state
 from lanelead.protocols.records import Lines, Malformed, NewsLine, decode
 from lanelead.settings.records import Address
--- a/lanelead/node/links.py
+++ b/lanelead/node/links.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import contextlib
-import math
 import socket
 from collections.abc import Callable
 from typing import Any
 
 from lanelead.decisions.interface import Condition, Fate, Report, Ticks, Trip, Unit
+from lanelead.node.reports import report_of, still
 from lanelead.pgwire import messages
 from lanelead.pgwire.statements import Statement
 from lanelead.pgwire.units import Answer, Progress, UnitReader
@@ -26,35 +26,6 @@
 WEAR = 0.6  # of the time after which a unit's machine closes an idle connection: ours go by then
 
 
-def report_of(text: bytes | None, names: frozenset[str]) -> Report | None:
-    """The figures that the settings name; None where there is no report that can be read."""
-    if not text or not names:
-        return None
-    found: Report = {}
-    for pair in text.split(b","):
-        name, mark, word = pair.partition(b"=")
-        try:
-            value = float(word)
-        except ValueError:
-            return None
-        if not mark or not math.isfinite(value) or value < 0:
-            return None
-        if (known := name.decode("latin-1").strip()) in names:
-            found[known] = value
-    return found or None
-
-
-def still(sock: socket.socket) -> bool:
-    """Nothing waits to be read, nor has the other end gone."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except (BlockingIOError, InterruptedError):
-        return True
-    except OSError:
-        pass
-    return False
-
-
 class Link:
     """One connection to a unit."""
 
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from lanelead.decisions.interface import Fate, Trip, Unit, Vote
+from lanelead.decisions.rules import Relay
 from lanelead.node import config as configuration
 from lanelead.node.config import Config
 from lanelead.node.desk import Desk
@@ -24,7 +25,6 @@
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.relay.driver import Driver, Ticket
 from lanelead.relay.timing import Clock
-from lanelead.decisions.rules import Relay
 
 SPARE = 24  # descriptors for listening, feeds, letters, the log and the interpreter
 CLIENTS = 0.5  # of the other descriptors; the rest go to units
--- a/lanelead/relay/driver.py
+++ b/lanelead/relay/driver.py
@@ -14,7 +14,6 @@
 from heapq import heappop, heappush
 from typing import Any, Protocol
 
-from lanelead.hosting.door import Door, pack, unpack
 from lanelead.decisions.interface import (
     Act,
     BreakOff,
@@ -47,6 +46,7 @@
     Watch,
     Word,
 )
+from lanelead.hosting.door import Door, pack, unpack
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.protocols.steps import Page
 from lanelead.steps.join import Readiness
--- a/lanelead/relay/gate.py
+++ b/lanelead/relay/gate.py
@@ -21,10 +21,10 @@
 
 import netaddr
 
+from lanelead.decisions.interface import Lane, Member, Ticks, Trip
 from lanelead.http import writing
 from lanelead.http.answers import Answer
 from lanelead.http.asks import Ask, AskReader, Refusal, State
-from lanelead.decisions.interface import Lane, Member, Ticks, Trip
 from lanelead.protocols.records import Complaint, Malformed, decode, encode
 from lanelead.relay.driver import Driver, Outcome, Ticket
 from lanelead.relay.links import OURS
--- a/lanelead/relay/links.py
+++ b/lanelead/relay/links.py
@@ -16,14 +16,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from lanelead.decisions.interface import Fate, Ticks, Trip, Unit
 from lanelead.http import writing
 from lanelead.http.answers import Answer, AnswerReader, Progress
-from lanelead.decisions.interface import Fate, Report, Ticks, Trip, Unit
 from lanelead.protocols.records import Load, Malformed, decode
 from lanelead.relay.driver import Destination, Driver, Ticket
+from lanelead.relay.reports import LOAD, figures, report_of
 
 TURNED_AWAY = b"lanelead-turned-away"
-LOAD = b"lanelead-load"
 OURS = writing.own(
     b"lanelead-relay",
     b"lanelead-trip",
@@ -77,23 +77,6 @@
         self.written = False
 
 
-def report_of(answer: Answer, names: frozenset[str]) -> Report | None:
-    """The load report in an answer, of the figures that the settings name; None where there is none to
-    trust."""
-    raw = answer.header(LOAD)
-    if raw is None:
-        return None
-    try:
-        return _figures(decode(raw, Load), names)
-    except Malformed:
-        return None
-
-
-def _figures(load: Load, names: frozenset[str]) -> Report:
-    pairs = ((name, getattr(load, name)) for name in load.__struct_fields__ if name in names)
-    return {name: value for name, value in pairs if value is not None}
-
-
 class Links:
     def __init__(
         self,
@@ -384,7 +367,7 @@
             elif answer.status != 200:
                 fate = Fate.ERROR
             else:
-                report, fate = _figures(decode(answer.body, Load), self._reports), Fate.DONE
+                report, fate = figures(decode(answer.body, Load), self._reports), Fate.DONE
         except (OSError, TimeoutError):
             pass
         except Malformed:
--- a/lanelead/relay/service.py
+++ b/lanelead/relay/service.py
@@ -10,19 +10,19 @@
 from typing import Any
 
 from lanelead.decisions.interface import Decisions, Duties, Fate, Lane, Member, Ticks, Trip, Unit, Vote
+from lanelead.decisions.rules import Relay
+from lanelead.decisions.zones import ANYWHERE
+from lanelead.http.calls import Failed, call, stream
 from lanelead.protocols import datagrams
 from lanelead.protocols.records import Listed, Malformed, NewsLine, VoteAnswer, VoteAsk, decode, encode
 from lanelead.protocols.steps import Page, SeenAsk
-from lanelead.http.calls import Failed, call, stream
+from lanelead.relay.circle import Circle
 from lanelead.relay.driver import VERDICTS, WORDS, Driver, Ticket
 from lanelead.relay.gate import Gate
-from lanelead.relay.circle import Circle
 from lanelead.relay.links import Links
 from lanelead.relay.timing import Clock
-from lanelead.decisions.rules import Relay
 from lanelead.settings import records
 from lanelead.steps.join import Readiness
-from lanelead.decisions.zones import ANYWHERE
 
 Seam = Callable[[Decisions], Decisions]  # for tests only: takes a guard out, from outside the decisions
 
--- a/lanelead/standins/interrupts.py
+++ b/lanelead/standins/interrupts.py
@@ -25,8 +25,8 @@
 
 import msgspec
 
-from lanelead.http.calls import Failed, call, stream
 from lanelead.decisions.interface import Lane, Lookup, Repeat, Scope, Ticks, Trip
+from lanelead.http.calls import Failed, call, stream
 from lanelead.protocols.records import decode
 from lanelead.protocols.steps import Entry, Logged, Page, SeenAsk, Told
 from lanelead.settings.records import Address, Demands, Steps
--- a/lanelead/standins/roster.py
+++ b/lanelead/standins/roster.py
@@ -11,9 +11,9 @@
 
 from lanelead.http import writing
 from lanelead.http.asks import Ask
+from lanelead.http.serving import STREAM, Caller, chunk
 from lanelead.protocols.records import Listed, Row, encode
 from lanelead.standins.capture import Tap, clock
-from lanelead.http.serving import STREAM, Caller, chunk
 
 
 def relay_of(ask: Ask) -> int:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -10,8 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from lanelead.http.answers import Answer
-from lanelead.http.asks import Ask
+from lanelead.decisions.guards import NEVER_RAN
 from lanelead.decisions.interface import (
     Allowance,
     Control,
@@ -29,10 +28,11 @@
     Unit,
     Vote,
 )
+from lanelead.decisions.rules import Relay
+from lanelead.http.answers import Answer
+from lanelead.http.asks import Ask
 from lanelead.protocols.records import Listed, NewsLine, Row
 from lanelead.relay.driver import Driver, Outcome, Ticket
-from lanelead.decisions.guards import NEVER_RAN
-from lanelead.decisions.rules import Relay
 
 SECOND: Ticks = 10_000
 LANES = [
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,18 +5,13 @@
 import asyncio
 import json
 import os
-import signal
 import socket
-import subprocess
-import sys
-import tempfile
 import unittest
-from pathlib import Path
 from unittest import mock
 
 from lanelead.decisions.interface import Fate, Verdict, Vote
 from lanelead.node import front
-from lanelead.node.links import report_of
+from lanelead.node.reports import report_of
 from lanelead.pgwire import messages
 from lanelead.pgwire.messages import READY
 from lanelead.protocols import datagrams
@@ -401,91 +396,3 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
                 stranger.sendto(datagrams.plain(b""), ("127.0.0.1", place.letters))
                 await place.until(lambda: place.relay.state()["dropped"] == 1)
-
-
-class Signals(unittest.TestCase):
-    @live
-    async def test_sigterm_serves_who_still_comes_and_answers_all_it_took(self) -> None:
-        async def slow(unit: Unit, text: bytes) -> bytes:
-            await asyncio.sleep(0.7)
-            return await good(unit, text)
-
-        async with platform(Unit("u0", slow), Unit("u1", slow), Unit("u2", slow)) as place:
-            held, idle = await place.client(), await place.client()
-            held.send("1a")
-            os.kill(os.getpid(), signal.SIGTERM)
-            await place.until(lambda: place.said("draining") == 1)
-            late = await place.client()
-            late.send("2a")
-            self.assertTrue((await held.answer())["D"].endswith(b"value of 1a"))
-            self.assertTrue((await late.answer())["D"].endswith(b"value of 2a"))
-            self.assertEqual(await idle.reader.read(), b"")
-            await place.run
-            with self.assertRaises(OSError):
-                await place.client()
-
-    @live
-    async def test_sighup_moves_the_feeds_and_disturbs_nothing(self) -> None:
-        async with platform(Unit("u0")) as old, platform(Unit("u1")) as new:
-            await old.until(lambda: old.relay.state()["desk"])
-            config = old.folder / "config.json"
-            whole = config.read_text()
-            config.write_text(whole[:50])
-            old.relay.reload()
-            self.assertEqual(old.said("configuration not read anew: all stays as it was"), 1)
-            old.write(new.ports())
-            client = await old.client()
-            client.send("1a")
-            old.relay.reload()
-            old.relay.reload()  # twice in quick succession
-            self.assertIn("D", await client.answer())
-            await old.until(lambda: len(new.desks) >= 2 and old.relay.state()["desk"])
-            await old.until(
-                lambda: any(
-                    unit.mark and unit.condition.value == "ready"
-                    for name, unit in old.relay.driver.door.units.items()
-                    if name == "u1"
-                )
-            )
-            self.assertTrue((await client.ask("2a"))["D"].endswith(b"value of 2a"))
-            self.assertTrue(new.units[0].queries)  # the new list names u1 alone
-
-    def test_a_configuration_that_cannot_be_read_ends_it_with_one_line(self) -> None:
-        for text in ("", "{}", '{"name": "n0"'):
-            path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "c.json"
-            path.write_text(text)
-            done = subprocess.run(
-                [sys.executable, "-m", "lanelead", "node"], capture_output=True, text=True, timeout=30,
-                env={**os.environ, "NODE_CONFIG": str(path)}, cwd=Path(__file__).parent.parent,
-            )  # fmt: skip
-            self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
-
-
-class LongDays(unittest.TestCase):
-    @live
-    async def test_tables_forget_units_ids_and_connections(self) -> None:
-        async with platform(Unit("u0")) as place:
-            relay = place.relay
-            with mock.patch.object(relay.driver, "_memory", 0):
-                for number in range(300):
-                    for state in ("active", "left"):
-                        rows = [
-                            {"id": f"s{number}-{n}", "addr": f"127.0.0.1:{1 + n}", "state": state}
-                            for n in range(10)
-                        ]
-                        found = {"version": 2, "full": False, "servers": rows}
-                        relay._listed(listed(decode(json.dumps(found).encode(), Endpoints)))
-            for number in range(60):
-                client = await place.client()
-                await client.ask(f"{number:x}")
-                client.writer.close()
-            relay.links.sweep()
-            await place.until(lambda: not relay.front.clients)
-            driver = relay.driver
-            sizes = [
-                len(table) for table in (
-                    driver.places, driver.door.units, driver.door.names, driver.door.marks, driver.tickets,
-                    relay.links._pools, relay.links._out, relay.links.links, relay.front.open, driver._gone,
-                )
-            ]  # fmt: skip
-            self.assertLessEqual(max(sizes), 12, sizes)
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -5,7 +5,6 @@
 import unittest
 from collections import Counter
 
-from lanelead.hosting.door import MESSAGE, Door, pack, unpack
 from lanelead.decisions.interface import (
     LOADS,
     Close,
@@ -22,6 +21,7 @@
     Word,
 )
 from lanelead.decisions.servers import Outstanding, Server, mine
+from lanelead.hosting.door import MESSAGE, Door, pack, unpack
 from tests.fake import EFFECTFUL, PURE, SECOND, FakeHost
 
 DEAR = 0.08
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,8 +6,8 @@
 import contextlib
 import unittest
 
-from lanelead.http import writing
 from lanelead.decisions.interface import Condition
+from lanelead.http import writing
 from tests.town import Client, Handler, ScriptedUnit, live, resets, says, state_of, town
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -21,11 +21,12 @@
     Trip,
     Unit,
 )
-from lanelead.model.policies import AllAtOnce, HealthShare, NoSpill
-from lanelead.model.world import Plan, World
 from lanelead.decisions.scoring import Fault
 from lanelead.decisions.servers import Server, mine
 from lanelead.decisions.zones import Spill
+from lanelead.model.machines import Plan
+from lanelead.model.policies import AllAtOnce, HealthShare, NoSpill
+from lanelead.model.world import World
 from tests.fake import EFFECTFUL, PURE, RECEIPTED, SECOND, FakeHost
 
 DUTIES = Duties(200, 2 * SECOND, 0.4, 4 * SECOND, 4.0, SECOND, False, 0, 50)
