--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -13,7 +13,7 @@
 
 Ticks = int
 SECOND: Ticks = 10_000
-LOADS = 84  # loads that one message between relays holds at the most
+LOADS = 83  # loads that one message between relays holds at the most
 
 
 class Repeat(Enum):
@@ -315,7 +315,14 @@
     took: Ticks
 
 
-Word = Sighting | Load | Pace  # what relays tell each other
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """How many answers the relay that tells got in the last second."""
+
+    many: int
+
+
+Word = Sighting | Load | Pace | Answered  # what relays tell each other
 
 
 # Acts
--- a/lanelead/decisions/rules.py
+++ b/lanelead/decisions/rules.py
@@ -7,7 +7,7 @@
 from lanelead.decisions.guards import NEVER_RAN, Exposure, Guards
 from lanelead.decisions.interface import (
     SECOND, Act, Allowance, BreakOff, CallOff, Close, Coverage, Duties, Fate, Fetch, Lane, Listing, Load,
-    Lookup, Member, News, Pace, Phase, Place, Poll, Preference, Probe, Report, Send, Shed, Sighting, Tally,
+    Lookup, Member, News, Phase, Place, Poll, Preference, Probe, Report, Send, Shed, Sighting, Tally,
     Tariff, Ticks, Trial, Trip, Unit, Wake, Watch, Word,
 )
 from lanelead.decisions.journeys import Journey, Journeys
@@ -104,19 +104,17 @@
     def heard(self, peer: int, words: Sequence[Word]) -> None:
         if loads := [word for word in words if isinstance(word, Load)]:
             self._out.hear(peer if self._circle.hub else None, loads, self.now)
-        for word in (word for word in words if isinstance(word, Pace)):
-            self._pacing.hear(word, self.now)
+        for word in words:
+            self._pacing.hear(peer, word, self.now)
         for seen in (word for word in words if isinstance(word, Sighting)):
             faults = {fault: many for fault, many in zip(Fault, seen.faults, strict=True) if many}
             self._count(mine(seen.unit), seen.lane, faults, seen.outcomes, self._circle.passes_on(peer))
 
     def _count(self, server: Server, lane: Lane, faults: dict[Fault, int], outcomes: int, tell: bool) -> None:
-        # One relay sees too few, so they are told; earlier servers' too, or a trouble of both would hide.
         self._spill.note(server, outcomes, sum(n for f, n in faults.items() if f not in HARD), self.now)
         if self._spill.troubled(server):
             faults = {fault: many for fault, many in faults.items() if fault in HARD}
         self._scoring.record(server, lane, faults, self.now, outcomes)
-        self._pacing.note(outcomes - faults.get(Fault.SHUT, 0) - faults.get(Fault.SILENT, 0), self.now)
         self._traffic.busy.add(self.now, outcomes - faults.get(Fault.BROKEN, 0))  # quick errors are no work
         if tell and self._allowance.peers:
             self._untold.note(server, lane, outcomes, [faults.get(fault, 0) for fault in Fault])
@@ -146,10 +144,11 @@
         times = self._rollout.due, self.now + self._beat  # 'on' is voted right when due
         self.acts.append(Wake(min(at for at in times if at > self.now), None))
         news, ready = self._exposure.news, self._roster.ready
-        out, in_all = self._out.own(ready) if self._tells else [], list[Word]()
+        loads, in_all = self._out.own(ready) if self._tells else [], list[Word]()
+        out: list[Word] = [*loads, self._pacing.own(self._chance, self.now)] if loads else []
         if self._tells and self._circle.hub:
-            in_all += (loads := self._out.add(out, self.now))
-            in_all += self._pacing.measure(sum(load.trips for load in loads), 10, self.now)
+            in_all += (totals := self._out.add(loads, self.now))
+            in_all += self._pacing.measure(sum(load.trips for load in totals), 10, self.now)
         self.acts += self._circle.letters(self._untold.take(), out, in_all)
         trial = news is not None and news.phase is Phase.TRIAL
         self._spill.beat(ready, self._traffic.taken.read(self.now), trial, self.now)
@@ -168,6 +167,7 @@
             return
         self._count(server, lane, {fault: 1} if fault else {}, 1, True)
         server.mute = fate in MUTE
+        self._pacing.note(not server.mute, self.now)
         self._choice.note(server, STRIKES.get(fate, 0.0), self.now)
         if fate is Fate.DONE:
             self._exposure.done(server.build, trip.lookup)
@@ -231,7 +231,7 @@
         ended, timely = (fare.read(self.now) for fare in self._fares[lookup.member, lookup.lane])
         if (took := self._pacing.took(self.now)) is None:  # no hub tells: what was seen here counts
             return self._chance.random() > 3 * (1 + timely) / (1 + 2 * ended)
-        excess = 1 - self._least / max(1, took)
+        excess = 1 - 0.75 * self._least / max(1, took)  # a mean, about which trips are spread
         rates = {lane: rate.read(self.now) for lane, rate in self._rates.items()}
         less = sum(rate for lane, rate in rates.items() if lane.worth < lookup.lane.worth)
         return self._chance.random() * rates[lookup.lane] < excess * sum(rates.values()) - less
--- a/lanelead/decisions/servers.py
+++ b/lanelead/decisions/servers.py
@@ -4,9 +4,11 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable, Sequence
+from random import Random
 
 from lanelead.decisions.interface import (
-    LOADS, Condition, Coverage, Duties, Lane, Listing, Load, Pace, Sighting, Ticks, Trip, Unit,
+    LOADS, Answered, Condition, Coverage, Duties, Lane, Listing, Load, Pace, Sighting, Ticks, Trip, Unit,
+    Word,
 )
 from lanelead.decisions.sums import Fading
 
@@ -87,27 +89,36 @@
 
 
 class Pacing:
-    """How long trips take over the whole fleet: those out over those answered (Little 1961). Hubs add it up
-    and tell it; what is older than the span is not known any more."""
+    """How long trips take over the whole fleet: those out over those answered (Little 1961). Each relay tells
+    the hubs how many answers it got in the last span, not what came since it last told: a letter that is lost
+    makes no answer fewer. Hubs add up and tell all; what is older than the span is not known any more."""
 
     def __init__(self, span: Ticks, now: Ticks) -> None:
         self._span, self._began, self._answers = span, now, Fading(span)
+        self._told = dict[int, tuple[Ticks, int]]()
         self._took, self._at = 0, now - span
 
     def note(self, answers: int, now: Ticks) -> None:
-        self._answers.add(now, max(0, answers))
+        self._answers.add(now, answers)
 
-    def hear(self, told: Pace, now: Ticks) -> None:
-        self._took, self._at = told.took, now
+    def own(self, chance: Random, now: Ticks) -> Answered:
+        """Parts of an answer go by lot: each of hundreds of relays has few."""
+        return Answered(int(self._answers.read(now) + chance.random()))
+
+    def hear(self, peer: int, word: Word, now: Ticks) -> None:
+        if isinstance(word, Answered):
+            self._told[peer] = now, word.many
+        elif isinstance(word, Pace):
+            self._took, self._at = word.took, now
 
     def measure(self, out: int, enough: int, now: Ticks) -> list[Pace]:
         """Nothing before as many answers as are enough came in one span, and two spans have passed."""
-        answers = self._answers.read(now)
+        self._told = {peer: told for peer, told in self._told.items() if told[0] > now - self._span}
+        answers = self._answers.read(now) + sum(many for _, many in self._told.values())
         if answers < enough or now < self._began + 2 * self._span:
             return []
-        told = Pace(int(out / answers * self._span))
-        self.hear(told, now)
-        return [told]
+        self._took, self._at = int(out / answers * self._span), now
+        return [Pace(self._took)]
 
     def took(self, now: Ticks) -> Ticks | None:
         return self._took if self._at > now - self._span else None
--- a/lanelead/hosting/door.py
+++ b/lanelead/hosting/door.py
@@ -9,15 +9,15 @@
 from collections.abc import Callable, Mapping, Sequence
 from struct import Struct
 
-from lanelead.decisions.interface import LOADS, Condition, Lane, Load, Pace, Sighting, Unit, Word
+from lanelead.decisions.interface import LOADS, Answered, Condition, Lane, Load, Pace, Sighting, Unit, Word
 
 KINDS = 5  # kinds of fault in a sighting
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
 LOAD = Struct(">HB")  # a load: unit mark, trips out
 MESSAGE = 256  # the most bytes of one message between relays
 FORM, COUNT = 2, 5  # the messages' form, above the bits that count sightings: relays of two versions meet
-HEAD, STEP = 2, 200  # bytes before the rows: form and count, then the pace in steps of so many ticks
-UNTOLD = 255  # in place of the pace
+HEAD, STEP = 3, 200  # bytes before the rows: form and count, the pace in steps of so many ticks, answers
+UNTOLD = 255  # in place of pace or answers
 
 
 class Door:
@@ -47,7 +47,7 @@
 
 def pack(words: Sequence[Word], lanes: Sequence[Lane]) -> list[bytes]:
     """Sightings and loads as messages of the allowed length: their form and the number of sightings in one
-    byte, the pace in the next, then the sightings' rows, then loads. The loads go whole into one
+    byte, pace and answers in the next two, then the sightings' rows, then loads. The loads go whole into one
     message, since they say what is out and that there is no more: of more than fit, those that come first."""
     rows = [
         ROW.pack(
@@ -62,7 +62,8 @@
     ]
     loads = [LOAD.pack(word.unit.mark, min(word.trips, 255)) for word in words if isinstance(word, Load)]
     paces = [min(UNTOLD - 1, word.took // STEP) for word in words if isinstance(word, Pace)]
-    pace = bytes(paces[:1] or [UNTOLD])
+    answers = [min(UNTOLD - 1, word.many) for word in words if isinstance(word, Answered)]
+    pace = bytes([*(paces[:1] or [UNTOLD]), *(answers[:1] or [UNTOLD])])
     step = (MESSAGE - 2 - HEAD) // ROW.size
     texts = [rows[place : place + step] for place in range(0, len(rows), step)]
     parts = [bytes([FORM << COUNT | len(some)]) + pace + b"".join(some) for some in texts]
@@ -93,4 +94,5 @@
     ]
     rest = text[end : len(text) - (len(text) - end) % LOAD.size]
     loads = (Load(unit, trips) for mark, trips in LOAD.iter_unpack(rest) if (unit := units.get(mark)))
-    return [*words, *loads, *pace]
+    answered = [Answered(text[2])] if text[2] != UNTOLD else []
+    return [*words, *loads, *pace, *answered]
--- a/lanelead/model/world.py
+++ b/lanelead/model/world.py
@@ -17,6 +17,7 @@
 
 from lanelead.decisions.interface import (
     Allowance,
+    Answered,
     BreakOff,
     CallOff,
     Condition,
@@ -344,7 +345,7 @@
     def _heard(self, other: Host, host: Host, words: Sequence[Word]) -> None:
         theirs = list[Word]()
         for word in words:
-            if isinstance(word, Pace):
+            if isinstance(word, Pace | Answered):
                 theirs.append(word)
             elif (machine := host.machines.get(word.unit)) in other.units:
                 unit = other.units[machine]
