--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -298,6 +298,8 @@
         old, new = ScriptedUnit("old", says()), ScriptedUnit("new", says())
         async with town(old) as place:
             client = await Client.to(place)
+            while (await client.ask("GET", "/"))[0] != 200:  # or they would be away before both have told
+                await asyncio.sleep(0.01)
             place.roster.shut()
             place.desk.shut()
             while state_of(place)["feeds"] != {"roster": False, "desk": False}:
