--- /dev/null
+++ b/lanelead/node/checks.py
@@ -0,0 +1,95 @@
+"""What the settings must say before a relay may start, field by field. What is missing has the default named
+here or is refused; nothing is guessed from another deployment's figures."""
+
+from __future__ import annotations
+
+from lanelead.hosting.opening import Malformed as Unread
+from lanelead.hosting.opening import Opening
+from lanelead.protocols.records import Malformed
+
+# Fields by path, with the least that each may be, and whether it may be just that. Under `requestClasses.N.`
+# and `accounts.N.` for each class and each account.
+CLASS = {
+    "aimMs": (0.0, False),
+    "deadlineMs": (0.0, False),
+    "credit": (0.0, True),
+    "lateWorth": (0.0, True),
+    "windowMs": (0.0, True),
+    "aimStretch": (0.0, True),
+}
+ACCOUNT = {"quotaPerS": (0.0, True), "share": (0.0, True)}
+ONCE = {
+    "instances": (1.0, True),
+    "me": (0.0, True),
+    "tickMs": (0.0, True),
+    "allowed.attemptsCap": (1.0, True),
+    "allowed.openCap": (1.0, True),
+    "allowed.connectTimeoutMs": (0.0, False),
+    "allowed.connIdleMs": (0.0, True),
+    "allowed.maxRetryAfterMs": (0.0, True),
+    "contract.answerSlackMs": (0.0, True),
+    "contract.coldFrom": (0.0, True),
+    "contract.coldMs": (0.0, True),
+    "contract.fallMultiple": (0.0, False),
+    "contract.fallMs": (0.0, True),
+    "familyInfo.apiTimeoutMs": (0.0, False),
+    "familyInfo.countedOverMs": (0.0, False),
+    "familyInfo.voteTtlMs": (0.0, False),
+}
+# Without these a relay could do nothing, or do harm; all others have a default, which docs/node.md names.
+NEEDED = ("aimMs", "deadlineMs", "repeat", "name")
+NEEDED_ONCE = (
+    "instances",
+    "allowed.connectTimeoutMs",
+    "allowed.openCap",
+    "familyInfo.apiTimeoutMs",
+    "familyInfo.countedOverMs",
+    "familyInfo.voteTtlMs",
+)
+
+
+def check(opening: Opening) -> None:
+    """Raises Malformed, which names the field and what to do."""
+    if not opening.whole("requestClasses.count"):
+        raise Malformed("settings.requestClasses: none; name at least one class")
+    for path in NEEDED_ONCE:
+        _needed(opening, path)
+    for path, (least, itself) in ONCE.items():
+        _least(opening, path, least, itself)
+    names = set()
+    for number in range(opening.whole("requestClasses.count")):
+        at = f"requestClasses.{number}."
+        for field in NEEDED:
+            _needed(opening, at + field)
+        for field, (least, itself) in CLASS.items():
+            _least(opening, at + field, least, itself)
+        if (name := opening.word(at + "name")) in names:
+            raise Malformed(f"settings.{at}name: {name} is there twice; give each class a name of its own")
+        names.add(name)
+    for number in range(opening.whole("accounts.count")):
+        for field, (least, itself) in ACCOUNT.items():
+            _least(opening, f"accounts.{number}.{field}", least, itself)
+    if opening.number("me") >= opening.number("instances"):
+        raise Malformed("settings.me: must be under settings.instances; number the relays from 0")
+    shares, caps = opening.numbers("familyInfo.shares"), opening.numbers("familyInfo.mostShares")
+    if len(shares) != len(caps) or any(not 0 <= share <= 1 for share in (*shares, *caps)):
+        raise Malformed("settings.familyInfo.mostShares: as many as shares, each from 0 to 1")
+    for read in (opening.lanes, opening.members, opening.duties, opening.trial, opening.poll, opening.tariff):
+        try:
+            read()
+        except Unread as fault:
+            raise Malformed(f"settings: {fault}") from None
+
+
+def _needed(opening: Opening, path: str) -> None:
+    if opening.word(path) == "-":
+        raise Malformed(f"settings.{path}: missing; name it, there is no default that is safe")
+
+
+def _least(opening: Opening, path: str, least: float, itself: bool) -> None:
+    try:
+        value = opening.number(path, least if itself else 1.0)
+    except Unread as fault:
+        raise Malformed(f"settings.{path}: {fault}") from None
+    if value < least or (value == least and not itself):
+        raise Malformed(f"settings.{path}: {value:g}; must be {'at least' if itself else 'over'} {least:g}")
--- a/lanelead/node/config.py
+++ b/lanelead/node/config.py
@@ -9,12 +9,15 @@
 import msgspec
 from msgspec import Meta
 
-from lanelead.hosting.opening import Malformed as Unread
 from lanelead.hosting.opening import Opening, pairs_of
+from lanelead.node.checks import check
 from lanelead.protocols.platform import Endpoints, State, address
 from lanelead.protocols.records import Malformed, decode
 
 
+LONGEST = 16 << 20  # bytes of the file, which holds the last list of units
+
+
 class Limits(msgspec.Struct, frozen=True):
     sockets: Annotated[int, Meta(ge=16)] = 1024
     cores: float = 1.0
@@ -45,22 +48,40 @@
 
 
 def load(path: str) -> Config:
-    """Raises Malformed, with what is wrong; no part of a bad file is used."""
+    """Raises Malformed, with what is wrong and what to do; no part of a bad file is used."""
     try:
-        config = decode(Path(path).read_bytes(), Config)
+        config = decode(Path(path).read_bytes(), Config, LONGEST)
     except OSError as fault:
         raise Malformed(f"cannot read {path}: {fault.strerror}") from None
-    for text in (config.listen, config.discovery, config.platform.address, *config.peers):
-        address(text)
+    for name, text in (("listen", config.listen), ("discovery", config.discovery)):
+        _address(name, text)
+    _address("platform.address", config.platform.address)
+    if config.peer_listen:
+        _address("peer_listen", config.peer_listen)
+    for number, text in enumerate(config.peers):
+        _address(f"peers.{number}", text)
     try:
         int(config.seed, 16)
-        if not config.opening.lanes():
-            raise Unread("settings without a class")
-    except (ValueError, Unread) as fault:
-        raise Malformed(str(fault)) from None
+    except ValueError:
+        raise Malformed(f"seed: {config.seed[:40]!r}; must be a hexadecimal number") from None
+    try:
+        opening = config.opening
+    except RecursionError:
+        raise Malformed("settings: nested too deep") from None
+    check(opening)
+    stages = max(1, len(opening.numbers("familyInfo.shares")))
+    if config.platform.news.stage >= stages:
+        raise Malformed(f"platform.news.stage: {config.platform.news.stage}, of {stages} in the settings")
     return config
 
 
+def _address(name: str, text: str) -> None:
+    try:
+        address(text)
+    except Malformed:
+        raise Malformed(f"{name}: {text[:80]!r}; must be an address and a port") from None
+
+
 def path() -> str:
     if not (found := os.environ.get("NODE_CONFIG", "")):
         raise Malformed("NODE_CONFIG is not set")
--- a/lanelead/node/desk.py
+++ b/lanelead/node/desk.py
@@ -39,7 +39,8 @@
         self._sock: socket.socket | None = None
         self._number = 0
         self._votes: dict[int, asyncio.TimerHandle] = {}
-        self.up = self.retired = False
+        self.spoke: Callable[[], None] = lambda: None
+        self.up = self._over = False
 
     def vote(self, vote: Vote) -> None:
         params = {"build": vote.build, "stage": vote.stage, "verdict": VERDICTS[vote.verdict]}
@@ -68,22 +69,36 @@
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def end(self) -> None:
+        self._over = True
+        self._unanswered()
+
+    def _unanswered(self) -> None:
+        """Votes whose answer never comes: they may have counted."""
+        votes, self._votes = self._votes, {}
+        for timer in votes.values():
+            timer.cancel()
+        for _ in votes:
+            try:
+                self._heard(None, True, Fate.TIMED_OUT)
+            except Exception:
+                self._log.exception("a vote's end could not be taken in")
+
     async def run(self) -> None:
-        while not self.retired:
+        while not self._over:
             try:
                 await self._watch()
             except (OSError, Malformed, TimeoutError) as fault:
                 if self.up:
-                    self._log.warning("feed down", feed="desk", reason=str(fault) or "silent")
+                    self._log.warning(
+                        "feed down", feed="desk", reason=str(fault) or "silent",
+                        remedy="look at the platform; votes wait until it is back",
+                    )  # fmt: skip
             except Exception:
                 # Guards against a fault of ours on one line that would leave the relay without news for good.
                 self._log.exception("the desk's connection failed")
             self.up = False
-            for timer in self._votes.values():
-                timer.cancel()
-            votes, self._votes = len(self._votes), {}
-            for _ in range(votes):
-                self._heard(None, True, Fate.TIMED_OUT)
+            self._unanswered()
             await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
 
     async def _watch(self) -> None:
@@ -100,6 +115,8 @@
                 if not data:
                     raise OSError("closed by the platform")
                 for line in lines.feed(data):
+                    if self._over:
+                        return
                     self._line(decode(line, Line))
                 if not self.up:
                     self.up = True
@@ -110,7 +127,9 @@
 
     def _line(self, line: Line) -> None:
         if line.method == "stage":
-            self._heard(state(line.params).line(), False, Fate.DONE)
+            news = state(line.params).line()
+            self.spoke()
+            self._heard(news, False, Fate.DONE)
         elif line.method is not None:  # ping, and what later platforms may tell
             return
         elif line.id is not None and (timer := self._votes.get(line.id)) is not None:
--- a/lanelead/node/feeds.py
+++ b/lanelead/node/feeds.py
@@ -15,6 +15,16 @@
 HOLD = 2.0  # seconds a watch may wait; far inside the time after which a change counts as told
 LATE = 0.5  # and so many more for its answer
 PAUSE = 0.1  # after a failure, with a random part
+INSISTS = 2.0  # seconds that discovery names older versions only, before it is believed to have begun anew
+LONGEST = 16 << 20  # bytes of a list
+
+
+class Held:
+    """The version that the relay's list is of, whichever discovery told it."""
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        self.doubted: float | None = None  # since when older versions only have come
 
 
 class Discovery:
@@ -24,45 +34,64 @@
         self,
         loop: asyncio.AbstractEventLoop,
         where: str,
-        version: int,
+        held: Held,
         heard: Callable[[Listed], None],
         chance: Random,
         log: Any,
     ) -> None:
         self._loop, self._where, self._heard = loop, Address(*address(where)), heard
-        self._version, self._whole, self._chance, self._log = version, True, chance, log
-        self.up = False
+        self._held, self._whole, self._chance, self._log = held, True, chance, log
+        self.spoke: Callable[[], None] = lambda: None
+        self.up = self._over = False
+
+    def end(self) -> None:
+        self._over = True
 
     async def run(self) -> None:
-        while True:
-            path, limit = b"/v1/endpoints", LATE
-            if not self._whole:
-                path += b"?from=%d&hold_ms=%d" % (self._version, HOLD * 1000)
-                limit += HOLD
+        while not self._over:
             try:
-                answer = await call(self._loop, self._where, "GET", path, b"", limit)
-                if answer.status != 200:
-                    raise Failed(f"status {answer.status}")
-                found = decode(answer.body, Endpoints)
-                if self._whole and not found.full:
-                    raise Malformed("changes, where the whole list was asked for")
-                told = listed(found)
+                await self._next()
+                continue
             except (Failed, Malformed, TimeoutError) as fault:
                 if self.up:
-                    self._log.warning("feed down", feed="discovery", reason=str(fault) or "silent")
-                await self._pause()
-                continue
-            if not self.up:
-                self._log.info("feed up", feed="discovery", version=found.version, units=len(found.servers))
-            self.up, self._whole, self._version = True, False, found.version
-            try:
-                if found.full or found.servers:
-                    self._heard(told)
+                    self._log.warning(
+                        "feed down", feed="discovery", reason=str(fault) or "silent",
+                        remedy="look at discovery's agent; the last good list stays",
+                    )  # fmt: skip
             except Exception:
                 # Guards against a fault of ours on one list that would leave the relay without any for good.
                 self._log.exception("a list could not be taken in")
-                await self._pause()
+            self.up, self._whole = False, True
+            await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
+
+    async def _next(self) -> None:
+        path, limit, held = b"/v1/endpoints", LATE, self._held
+        if not self._whole:
+            path += b"?from=%d&hold_ms=%d" % (held.version, HOLD * 1000)
+            limit += HOLD
+        answer = await call(self._loop, self._where, "GET", path, b"", limit)
+        if answer.status != 200:
+            raise Failed(f"status {answer.status}")
+        found = decode(answer.body, Endpoints, LONGEST)
+        if self._whole and not found.full:
+            raise Malformed("changes, where the whole list was asked for")
+        told = listed(found)
+        if found.version < held.version:
+            self._doubt(found)
+        if self._over:
+            return
+        self.spoke()
+        if not self.up:
+            self._log.info("feed up", feed="discovery", version=found.version, units=len(found.servers))
+        self.up, self._whole, held.version, held.doubted = True, False, found.version, None
+        if found.full or found.servers:
+            self._heard(told)
 
-    async def _pause(self) -> None:
-        self.up, self._whole = False, True
-        await asyncio.sleep(PAUSE * self._chance.uniform(0.5, 1.5))
+    def _doubt(self, found: Endpoints) -> None:
+        """Guards against an old copy of the list, by which units that drain would be ready again. One that
+        says the same for long has begun to count anew."""
+        held, now = self._held, self._loop.time()
+        held.doubted = held.doubted if held.doubted is not None else now
+        if not found.full or now < held.doubted + INSISTS:
+            raise Malformed(f"version {found.version}, where {held.version} is known")
+        self._log.warning("discovery counts anew", version=found.version, known=held.version)
--- /dev/null
+++ b/lanelead/node/handover.py
@@ -0,0 +1,43 @@
+"""One feed after another: the earlier one goes on until its heir has spoken, and then ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Generic, Protocol, TypeVar
+
+
+class Feed(Protocol):
+    spoke: Callable[[], None]  # to be called before what it hears is handed on
+
+    async def run(self) -> None: ...
+
+    def end(self) -> None:
+        """Nothing more is heard of it from now on."""
+        ...
+
+
+F = TypeVar("F", bound=Feed)
+
+
+class Succession(Generic[F]):
+    """What was written to the relay counts as told, by an earlier feed too: cut off at once, its last word
+    would be lost, and until the heir is there nothing would be heard at all. Once the heir has spoken, an
+    earlier one's word may be older than what is known, and is not wanted any more."""
+
+    def __init__(self, task: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]]) -> None:
+        self._task = task
+        self._running: dict[F, asyncio.Task[None]] = {}  # in the order of their start
+        self.newest: F
+
+    def begin(self, feed: F) -> None:
+        self.newest = feed
+        feed.spoke = lambda: self._spoke(feed)
+        self._running[feed] = self._task(feed.run())
+
+    def _spoke(self, feed: F) -> None:
+        for earlier in list(self._running):
+            if earlier is feed:
+                return
+            self._running.pop(earlier).cancel()
+            earlier.end()
--- a/lanelead/node/links.py
+++ b/lanelead/node/links.py
@@ -1,4 +1,4 @@
-"""Connections to units in PostgreSQL's protocol: a pool each, trips and probes, and how each came out.
+"""What passes on connections to units in PostgreSQL's protocol: trips and probes, and how each came out.
 
 docs/node.md has the table of fates. A trip can have run once its last byte was handed to the kernel, and no
 sooner. A connection carries one trip at a time, and another only after a whole answer with nothing behind it.
@@ -7,56 +7,25 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any
 
-from lanelead.decisions.interface import Condition, Fate, Report, Ticks, Trip, Unit
+from lanelead.decisions.interface import Fate, Report, Ticks, Trip, Unit
+from lanelead.node.pools import REST, Link, Pools
 from lanelead.node.reports import report_of, still
 from lanelead.pgwire import messages
 from lanelead.pgwire.statements import Statement
-from lanelead.pgwire.units import Answer, Progress, UnitReader
-from lanelead.relay.driver import Destination, Driver, Ticket
+from lanelead.pgwire.units import Answer, Progress
+from lanelead.relay.driver import Driver, Ticket
 
 BUFFER = 65536  # bytes read at once
 STARTUP = messages.startup("app", "shop")
 TURNED_AWAY = "53300"
 PROBE = messages.query(b"SHOW vitals")
-WEAR = 0.6  # of the time after which a unit's machine closes an idle connection: ours go by then
 
 
-class Link:
-    """One connection to a unit."""
-
-    __slots__ = (
-        "asked", "began", "connected", "pool", "probe", "reader", "rest", "since", "sock", "timer", "trip",
-        "writing",
-    )  # fmt: skip
-
-    def __init__(self, sock: socket.socket, pool: Pool, longest: int) -> None:
-        self.sock, self.pool, self.reader = sock, pool, UnitReader(longest, b"vitals")
-        self.trip: Trip | None = None  # that goes, or is to go, over it
-        self.probe: Unit | None = None
-        self.connected = False  # the unit has welcomed it
-        self.asked = False  # the question's last byte was handed over
-        self.rest = memoryview(b"")  # of the question, where the kernel took only a part
-        self.writing = False
-        self.since = 0.0  # when it fell idle, or when the last bytes of an answer came
-        self.began = 0.0  # when a probe set out
-        self.timer: asyncio.TimerHandle | None = None
-
-
-class Pool:
-    """The connections to one life of a unit."""
-
-    def __init__(self, place: Destination) -> None:
-        self.place = place
-        self.idle: list[Link] = []  # the one used last at the end
-        self.left = False
-
-
-class Links:
+class Links(Pools):
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -67,25 +36,37 @@
         names: frozenset[str],
         log: Any,
     ) -> None:
-        self._loop, self._log = loop, log
-        self._connect_limit, self._idle_limit, self._most = connect_limit, idle_limit * WEAR, most
-        self._longest, self._names = longest, names
+        super().__init__(loop, connect_limit, idle_limit, most, longest, log)
+        self._names = names
         self.driver: Driver
         self.after: Callable[[], None] = lambda: None
         self.waiting: list[Trip] = []  # trips to set out
+        self._probes: list[Unit] = []  # and units to probe
         self._out: dict[Trip, tuple[Ticket, Link | None]] = {}
-        self._pools: dict[Unit, Pool] = {}
-        self.links: dict[Link, None] = {}
-        self.opened = self.reused = self.spoilt = self.short = 0
+        self.reused = self.spoilt = 0
         self.refused = self.unwelcome = 0  # connections that were refused, and that never came up
 
     # Trips
 
     def send(self, trip: Trip, ticket: Ticket) -> None:
-        """Notes a trip; `go` sets it out."""
+        """Notes a trip; `set_out` sends it."""
         self._out[trip] = ticket, None
         self.waiting.append(trip)
 
+    def probe(self, unit: Unit) -> None:
+        """Notes a probe; `set_out` sends it."""
+        self._probes.append(unit)
+
+    def set_out(self) -> None:
+        """Sends what was noted. Not from within a call of the driver's: what fails at once is told to it."""
+        while self.waiting or self._probes:
+            trips, self.waiting = self.waiting, []
+            units, self._probes = self._probes, []
+            for trip in trips:
+                self.go(trip)
+            for unit in units:
+                self._probe(unit)
+
     def abandon(self, trip: Trip) -> bool:
         """Waits no longer for it; says whether it may have run."""
         _, link = self._out.pop(trip, (None, None))
@@ -170,16 +151,22 @@
             self._broken(link, "ended")
             self.after()
             return
-        link.since = self._loop.time()
+        rested, link.since = self._loop.time() - link.since, self._loop.time()
         progress = link.reader.feed(data)
         if progress is Progress.WAITING:
             return
         if progress is Progress.SPOILT:
             self.spoilt += 1
-            self._log.info("spoilt answer", reason=link.reader.reason[:120])
+            idle = round(rested * 1000, 1) if link.trip is None and link.probe is None else None
+            self._log.info("spoilt answer", reason=link.reader.reason[:120], idle_ms=idle)
             self._broken(link, "spoilt")
         elif not link.connected:
             self._welcomed(link)
+        elif link.writing and link.reader.answer and link.reader.answer.code != TURNED_AWAY:
+            # A unit begins once its question's last byte has come: this answers something else.
+            self.spoilt += 1
+            self._log.info("spoilt answer", reason="it came before its question was written whole")
+            self._broken(link, "early")
         else:
             self._answered(link)
         self.after()
@@ -207,8 +194,8 @@
         assert answer is not None
         trip, link.trip = link.trip, None
         probe, link.probe = link.probe, None
-        # An answer that came before its question was written whole leaves a connection nobody can use again.
         whole, link.asked = link.asked, False
+        link.rested = self._loop.time() + REST
         if link.reader.ready and whole:
             self._keep(link)
         else:
@@ -234,52 +221,6 @@
         if probe is not None:
             self._probed(probe, Fate.CUT if asked else Fate.UNREACHABLE, link, None)
 
-    # Pools
-
-    def _pool(self, unit: Unit, place: Destination) -> Pool:
-        pool = self._pools.get(unit)
-        if pool is None or pool.place != place:
-            if pool is not None:
-                self._empty(pool)
-                pool.left = True
-            pool = self._pools[unit] = Pool(place)
-        return pool
-
-    def _idle(self, pool: Pool) -> Link | None:
-        """The connection used last that is still of use: nothing unasked has come on it, nor its end."""
-        while pool.idle:
-            link = pool.idle.pop()
-            if still(link.sock):
-                return link
-            self._end(link)
-        return None
-
-    def _open(self, pool: Pool) -> Link | None:
-        """None where all descriptors are in use; the longest idle connection makes room."""
-        if len(self.links) >= self._most:
-            pools = [other for other in self._pools.values() if other.idle]
-            if not pools:
-                self.short += 1
-                return None
-            self._end(min(pools, key=lambda other: other.idle[0].since).idle.pop(0))
-        try:
-            sock = socket.socket(socket.AF_INET6 if ":" in pool.place.host else socket.AF_INET)
-        except OSError as fault:  # the process has no descriptor left
-            self._log.warning("no connection", reason=str(fault))
-            self.short += 1
-            return None
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(sock, pool, self._longest)
-        self.links[link] = None
-        self.opened += 1
-        link.since = self._loop.time()
-        link.timer = self._loop.call_later(self._connect_limit, self._never_came_up, link)
-        with contextlib.suppress(OSError):  # in progress, or failed: the writer finds that out
-            sock.connect((pool.place.host, pool.place.port))
-        self._loop.add_writer(sock, self._more, link)
-        return link
-
     def _up(self, link: Link) -> None:
         self._loop.remove_writer(link.sock)
         try:
@@ -300,44 +241,11 @@
             self._broken(link, "never came up")
             self.after()
 
-    def _keep(self, link: Link) -> None:
-        if link.pool.left:
-            self._end(link)
-            return
-        link.since = self._loop.time()
-        link.pool.idle.append(link)
-
-    def _end(self, link: Link) -> None:
-        if link not in self.links:
-            return
-        del self.links[link]
-        if link.timer is not None:
-            link.timer.cancel()
-        self._loop.remove_reader(link.sock)
-        self._loop.remove_writer(link.sock)
-        link.sock.close()
-        if link in link.pool.idle:
-            link.pool.idle.remove(link)
-
-    def _empty(self, pool: Pool) -> None:
-        for link in list(pool.idle):
-            self._end(link)
-
-    def close_idle(self, unit: Unit) -> None:
-        if (pool := self._pools.get(unit)) is not None:
-            self._empty(pool)
-
     def sweep(self) -> None:
         """To be called a few times a second: idle connections that are worn, pools of units that are gone,
         and answers that stopped in the middle."""
+        self._wear()
         now = self._loop.time()
-        for unit, pool in list(self._pools.items()):
-            while pool.idle and pool.idle[0].since < now - self._idle_limit:
-                self._end(pool.idle[0])
-            if unit.condition is Condition.GONE:
-                self._empty(pool)
-                pool.left = True
-                del self._pools[unit]
         # Guards against a unit that says a length and sends less: the trip would wait for its whole time.
         stalled = [link for link in self.links if link.connected and link.trip and link.reader.began]
         for link in stalled:
@@ -346,10 +254,11 @@
                 self.spoilt += 1
                 self._log.info("spoilt answer", reason="it stopped in the middle")
                 self._broken(link, "stalled")
+        self.after()
 
     # Probes
 
-    def probe(self, unit: Unit) -> None:
+    def _probe(self, unit: Unit) -> None:
         place = self.driver.places.get(unit)
         if place is None:
             self._loop.call_soon(self._unprobed, unit)
@@ -360,12 +269,13 @@
             self._loop.call_soon(self._unprobed, unit)
             return
         link.probe, link.began = unit, self._loop.time()
+        link.late = self._loop.call_later(self._connect_limit, self._probe_late, link)
         if link.connected:
             self._ask(link, PROBE)
-        self._loop.call_later(self._connect_limit, self._probe_late, link, unit)
 
-    def _probe_late(self, link: Link, unit: Unit) -> None:
-        if link.probe is unit:
+    def _probe_late(self, link: Link) -> None:
+        link.late = None
+        if (unit := link.probe) is not None:
             link.probe = None
             self._end(link)
             self._probed(unit, Fate.TIMED_OUT, link, None)
@@ -376,9 +286,9 @@
         self.after()
 
     def _probed(self, unit: Unit, fate: Fate, link: Link, report: Report | None) -> None:
+        # Guards against the timer of this probe ending a later one on the same connection.
+        if link.late is not None:
+            link.late.cancel()
+            link.late = None
         took: Ticks = max(0, int((self._loop.time() - link.began) * 10_000))
         self.driver.probed(unit, fate, took, report)
-
-    def shut(self) -> None:
-        for link in list(self.links):
-            self._end(link)
--- a/lanelead/node/main.py
+++ b/lanelead/node/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import sys
 
 import uvloop
@@ -12,9 +13,13 @@
 from lanelead.node.service import Service
 from lanelead.protocols.records import Malformed
 
+HELD = {signal.SIGHUP, signal.SIGTERM}
+
 
 def run(form: str) -> None:
-    """Serves until SIGTERM. A configuration that can't be read ends the process with one line."""
+    """Serves until SIGTERM. A configuration that can't be read ends the process with one line and 2."""
+    # Until its handler stands a signal would end the process at whatever it is doing: it waits for that.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
     try:
         where = path()
         config = load(where)
@@ -30,6 +35,8 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(5_000, 20, 50)
+        service.answer_signals()
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)
         await service.run(config)
 
     uvloop.run(serve())
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import gc
 import signal
-import socket
 import time
 from collections.abc import Sequence
 from random import Random
@@ -17,10 +15,11 @@
 from lanelead.node import config as configuration
 from lanelead.node.config import Config
 from lanelead.node.desk import Desk
-from lanelead.node.feeds import Discovery
+from lanelead.node.feeds import Discovery, Held
 from lanelead.node.front import Front
+from lanelead.node.handover import Succession
+from lanelead.node.letters import Letters
 from lanelead.node.links import Links
-from lanelead.protocols import datagrams
 from lanelead.protocols.platform import address, listed
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.relay.driver import Driver, Ticket
@@ -30,21 +29,20 @@
 CLIENTS = 0.5  # of the other descriptors; the rest go to units
 VALUE = 65536  # bytes of the largest value
 LINGER = 0.55  # seconds after SIGTERM that clients still come
+KILLED = 2.9  # and so many more, at most, to answer: SIGKILL may come 3.7 s after SIGTERM
+FIRST = 0.6  # seconds for discovery's first answer, where no list was given
 SWEEP = 0.25
 SAID = 20  # sweeps from one line on the relay's state to the next
 
 
 class Service:
     def __init__(self, config: Config, path: str, log: Any) -> None:
-        self._path, self._log = path, log.bind(relay=config.name)
+        self._path, self._config, self._log = path, config, log.bind(relay=config.name)
         self._loop = asyncio.get_running_loop()
         self._stop = asyncio.Event()
+        self._over = False
         self._tasks: dict[asyncio.Task[Any], None] = {}
-        self._udp: socket.socket | None = None
-        self._peers = [address(text) for text in config.peers]
-        self._number_at = {place: number for number, place in enumerate(self._peers)}
         self._chance = Random(f"feeds {config.seed}")
-        self._dropped = 0
         self._knows = asyncio.Event()
         self._lag = self._pause = 0.0
         self._build(config)
@@ -53,7 +51,8 @@
         opening = config.opening
         lanes, duties, allowance = opening.lanes(), opening.duties(), opening.allowance()
         members, poll, place = opening.members(), opening.poll(), opening.place()
-        self._number, self._answer_limit = place.number, poll.answer_limit / 10_000
+        self._answer_limit, trial = poll.answer_limit / 10_000, opening.trial()
+        self._stages = len(trial.shares)
         self._longest = max(lane.outer_limit for lane in lanes) / 10_000
         self._clock = Clock(self._loop, lambda: self.driver.due(), self._tick)
         decisions = Relay(
@@ -62,7 +61,7 @@
             members=members,
             allowance=allowance,
             duties=duties,
-            trial=opening.trial(),
+            trial=trial,
             poll=poll,
             tariff=opening.tariff(),
             chance=Random(int(config.seed, 16)),
@@ -99,22 +98,33 @@
         self._offset = self._clock.now() - int(time.time() * 10_000)
         if config.known.servers:
             self._listed(listed(config.known))
+        self._held = Held(config.known.version)
         self.driver.news(config.platform.news.line(), False, Fate.DONE)
-        self._discovery = self._discover(config)
-        self._desk = self._open_desk(config)
+        self._discovery: Succession[Discovery] = Succession(self._task)
+        self._desk: Succession[Desk] = Succession(self._task)
+        self._letters = Letters(
+            self._loop, place.number, config.peers, self.driver.heard, self.after, self._log
+        )
         told = ("instances", "familyInfo", "contract", "allowed", "requestClasses")
         self._log.info(
             "told", **{name: config.settings.get(name) for name in told}, limits=str(config.limits)
         )
 
-    def _discover(self, config: Config) -> Discovery:
-        return Discovery(
-            self._loop, config.discovery, config.known.version, self._listed, self._chance, self._log
+    def _feed(self, config: Config) -> None:
+        """Discovery and the desk as this configuration names them; earlier ones end once these speak."""
+        self._discovery.begin(
+            Discovery(self._loop, config.discovery, self._held, self._listed, self._chance, self._log)
+        )
+        self._desk.begin(
+            Desk(
+                self._loop,
+                config.platform.address,
+                self._news,
+                self._answer_limit,
+                self._chance,
+                self._log,
+            )
         )
-
-    def _open_desk(self, config: Config) -> Desk:
-        where = config.platform.address
-        return Desk(self._loop, where, self._news, self._answer_limit, self._chance, self._log)
 
     def _listed(self, found: Listed) -> None:
         self.driver.listed(found, self._offset)
@@ -122,41 +132,63 @@
         self.after()
 
     def _news(self, line: NewsLine | None, answer: bool, word: Fate) -> None:
+        if line is not None and line.stage >= self._stages:
+            raise Malformed(f"news of stage {line.stage}, of {self._stages} in the settings")
         self.driver.news(line, answer, word)
         self.after()
 
     # Running
 
+    def answer_signals(self) -> None:
+        """SIGTERM and SIGINT stop the relay, SIGHUP moves its feeds."""
+        for number, answer in (
+            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.reload),
+        ):  # fmt: skip
+            self._loop.add_signal_handler(number, answer)
+
     async def run(self, config: Config) -> None:
-        self._loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self._loop.add_signal_handler(signal.SIGINT, self.stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         gc.callbacks.append(self._collected)
-        self._watch = self._task(self._discovery.run())
-        self._desk_task = self._task(self._desk.run())
+        self._feed(config)
         if config.peer_listen:
-            self._open_letters(*address(config.peer_listen))
+            self._letters.open(*address(config.peer_listen))
         if not config.known.servers:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._knows.wait(), 10)
-        host, port = address(config.listen)
+            await self._first_list()
+        if not self._stop.is_set():  # told to stop before anybody could come: nothing was taken
+            await self._serve(*address(config.listen))
+        self._over = True
+        self.links.shut()
+        self._letters.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        gc.callbacks.remove(self._collected)
+        self._log.info("stopped", **self.state())
+
+    async def _first_list(self) -> None:
+        """A moment for discovery's first answer, which comes at once where discovery is up. Without one the
+        relay still listens: a refusal, harmless to repeat, is better than no answer."""
+        waits = [self._loop.create_task(event.wait()) for event in (self._knows, self._stop)]
+        await asyncio.wait(waits, timeout=FIRST, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if not self._knows.is_set():
+            self._log.warning(
+                "no list of units yet", remedy="look at discovery; lookups are refused until it answers"
+            )
+
+    async def _serve(self, host: str, port: int) -> None:
         try:
             self.front.listen(host, port)
         except OSError as fault:
-            self._log.error("cannot listen", address=config.listen, reason=str(fault))
+            self._log.error("cannot listen", address=f"{host}:{port}", reason=str(fault))
             raise SystemExit(1) from None
-        self._log.info("listening", address=config.listen)
+        self._log.info("listening", address=f"{host}:{port}")
         self.after()
         sweeper = self._task(self._sweep())
         await self._stop.wait()
         self._log.info("draining", open=len(self.driver.tickets))
-        await self.front.drain(LINGER, self._longest + 0.5)
+        await self.front.drain(LINGER, min(self._longest, KILLED))
         sweeper.cancel()
-        self.links.shut()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._log.info("stopped", **self.state())
 
     def stop(self) -> None:
         """Begins to drain; `run` returns when that is done."""
@@ -175,11 +207,7 @@
 
     def after(self) -> None:
         """To be called when the driver has been told something: sets out trips, and the timer."""
-        links = self.links
-        while links.waiting:
-            trips, links.waiting = links.waiting, []
-            for trip in trips:
-                links.go(trip)
+        self.links.set_out()
         self._clock.arm()
 
     def _tick(self) -> None:
@@ -222,6 +250,7 @@
             "condemned": front.condemned,
             "evicted": front.evicted,
             "turned_off": front.turned_off,
+            "refused_clients": front.refused,
             "units": len(self.driver.places),
             "links": len(links.links),
             "opened": links.opened,
@@ -230,9 +259,9 @@
             "unwelcome": links.unwelcome,
             "spoilt": links.spoilt,
             "short": links.short,
-            "dropped": self._dropped,
-            "discovery": self._discovery.up,
-            "desk": self._desk.up,
+            "dropped": self._letters.dropped,
+            "discovery": self._discovery.newest.up,
+            "desk": self._desk.newest.up,
             "lag_ms": round(self._lag * 1000, 1),
             "pause_ms": round(self._pause * 1000, 1),
             "cpu_s": round(time.process_time(), 2),
@@ -243,19 +272,26 @@
 
     def reload(self) -> None:
         """SIGHUP: discovery and the desk move, once the new file can be read; all else stays."""
+        if self._over:
+            return
         try:
             config = configuration.load(self._path)
         except Malformed as fault:
-            self._log.error("configuration not read anew: all stays as it was", reason=str(fault))
+            self._log.error(
+                "configuration not read anew: all stays as it was",
+                reason=str(fault), remedy="put the file right and send SIGHUP again",
+            )  # fmt: skip
             return
-        self._log.info("configuration read anew", discovery=config.discovery, desk=config.platform.address)
-        self._watch.cancel()
-        self._discovery = self._discover(config)
-        self._watch = self._task(self._discovery.run())
-        # The former desk answers what it was asked, until its connection ends.
-        self._desk.retired = True
-        self._desk = self._open_desk(config)
-        self._desk_task = self._task(self._desk.run())
+        names = ("name", "listen", "limits", "peer_listen", "peers", "peers_all")
+        kept = [name for name in names if getattr(config, name) != getattr(self._config, name)]
+        old, new = self._config.settings, config.settings
+        paths = sorted({*old, *new})
+        kept += [f"settings.{name}" for name in paths if old.get(name) != new.get(name)]
+        self._log.info(
+            "configuration read anew",
+            discovery=config.discovery, desk=config.platform.address, ignored_until_restart=kept,
+        )  # fmt: skip
+        self._feed(config)
 
     # Hands
 
@@ -272,17 +308,10 @@
         self.links.close_idle(unit)
 
     def tell(self, peer: int | None, payloads: Sequence[bytes]) -> None:
-        if self._udp is None:
-            return
-        for number, place in enumerate(self._peers):
-            if number == self._number or (peer is not None and number != peer):
-                continue
-            for payload in payloads:
-                with contextlib.suppress(OSError):  # such messages may be lost
-                    self._udp.sendto(datagrams.plain(payload), place)
+        self._letters.tell(peer, payloads)
 
     def vote(self, vote: Vote) -> None:
-        self._desk.vote(vote)
+        self._desk.newest.vote(vote)
 
     def watch(self, on: bool) -> None: ...
 
@@ -291,36 +320,6 @@
     def note(self, text: str) -> None:
         self._log.info("note", text=text)
 
-    # Letters
-
-    def _open_letters(self, host: str, port: int) -> None:
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        try:
-            sock.bind((host, port))
-        except OSError as fault:
-            self._log.error("no letters", reason=str(fault))
-            sock.close()
-            return
-        self._udp = sock
-        self._loop.add_reader(sock, self._letters)
-
-    def _letters(self) -> None:
-        assert self._udp is not None
-        for _ in range(64):  # bounded, so that a flood leaves time for lookups
-            try:
-                data, place = self._udp.recvfrom(512)
-            except BlockingIOError:
-                break
-            except OSError:
-                continue
-            number, payload = self._number_at.get(place[:2]), datagrams.open_plain(data)
-            if number is None or number == self._number or payload is None:
-                self._dropped += 1
-            else:
-                self.driver.heard(number, payload)
-        self.after()
-
 
 def _resident() -> float:
     try:
--- a/lanelead/pgwire/statements.py
+++ b/lanelead/pgwire/statements.py
@@ -11,9 +11,10 @@
 FORM = re.compile(
     rb"(?:SELECT doc FROM items WHERE id = '([0-9A-Za-z_-]{1,64})'"
     rb"|INSERT INTO items \(id, doc\) VALUES \('([0-9A-Za-z_-]{1,64})', '\\x([0-9a-fA-F]*)'\) RETURNING doc)"
-    rb" /\* ([!-~]{1,512}) \*/\Z"
+    rb" /\* ([!-~\x80-\xff]{1,1024}) \*/\Z"
 )
-WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
+# Names are the customer's own: only what would end the pair or the comment is kept out of them.
+WORD = re.compile(rb"(?:(?!/\*|\*/)[!-+\--~\x80-\xff]){1,128}\Z")
 MILLISECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?\Z")
 
 
@@ -61,10 +62,15 @@
         raise Unreadable("no class")
     if not MILLISECONDS.match(words.get(b"d", b"")) or not float(words[b"d"]) > 0:
         raise Unreadable("d is no positive number of milliseconds")
+    try:
+        ident, lane = words[b"id"].decode(), words[b"c"].decode()
+        member = words[b"t"].decode() if b"t" in words else None
+    except UnicodeDecodeError:
+        raise Unreadable("a name is not UTF-8") from None
     return Statement(
-        ident=words[b"id"].decode(),
-        lane=words[b"c"].decode(),
-        member=words[b"t"].decode() if b"t" in words else None,
+        ident=ident,
+        lane=lane,
+        member=member,
         key=(found or insert).decode(),
         left_ms=float(words[b"d"]),
         again=words.get(b"r") == b"1",
--- a/lanelead/protocols/records.py
+++ b/lanelead/protocols/records.py
@@ -78,10 +78,10 @@
     err_rps: Positive | None = None
 
 
-def decode(data: bytes, kind: type[T]) -> T:
+def decode(data: bytes, kind: type[T], longest: int = LONGEST) -> T:
     """Raises Malformed, with the field and what was expected of it."""
-    if len(data) > LONGEST:
-        raise Malformed(f"{len(data)} bytes, of {LONGEST} at most")
+    if len(data) > longest:
+        raise Malformed(f"{len(data)} bytes, of {longest} at most")
     try:
         return msgspec.json.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -79,6 +79,8 @@
         self.queries: list[bytes] = []
         self.connections = self.ended = 0
         self.writers: list[asyncio.StreamWriter] = []
+        self.welcomes = asyncio.Event()  # until it is set, connections come up and nothing is said on them
+        self.welcomes.set()
 
     async def open(self) -> None:
         self.server = await asyncio.start_server(self._met, "127.0.0.1", 0)
@@ -87,9 +89,10 @@
     async def _met(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.writers.append(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             size = int.from_bytes(await reader.readexactly(4), "big")
             await reader.readexactly(size - 4)
+            await self.welcomes.wait()
             writer.write(messages.WELCOME)
             while True:
                 head = await reader.readexactly(5)
@@ -138,8 +141,11 @@
 
 
 class Platform:
-    def __init__(self, folder: Path, units: list[Unit], sockets: int) -> None:
-        self.folder, self.units, self.sockets = folder, units, sockets
+    def __init__(self, folder: Path, units: list[Unit], sockets: int, known: bool = True) -> None:
+        self.folder, self.units, self.sockets, self.known = folder, units, sockets, known
+        self.answers = asyncio.Event()  # until it is set, discovery takes calls and says nothing
+        self.answers.set()
+        self.speaks = True  # the desk tells where the build stands, once it is watched
         self.states = {unit.name: "active" for unit in units}
         self.version, self.log = 1, structlog.testing.CapturingLogger()
         self.lists: list[bytes] = []  # what discovery was asked
@@ -148,10 +154,11 @@
         self.judge: Callable[[dict[str, Any]], bytes | None] = lambda call: answered(call["id"], NEWS)
         self.desks: list[asyncio.StreamWriter] = []
         self.writers: list[asyncio.StreamWriter] = []
+        self.plains: list[socket.socket] = []
         self.letters = free_port(socket.SOCK_DGRAM)
         self._changed = asyncio.Event()
 
-    async def open(self) -> None:
+    async def open(self, listening: bool = True) -> None:
         loop = asyncio.get_running_loop()
         for unit in self.units:
             await unit.open()
@@ -162,9 +169,9 @@
         path = str(self.folder / "config.json")
         config = load(path)
         self.relay = Service(config, path, structlog.wrap_logger(self.log, processors=[]))
+        self.relay.answer_signals()
         self.run = asyncio.create_task(self.relay.run(config))
-        while not any(call.kwargs.get("event") == "listening" for call in self.log.calls):
-            await asyncio.sleep(0.005)
+        await self.until(lambda: self.said("listening") > 0 or self.run.done() or not listening)
 
     def ports(self) -> list[int]:
         return [server.sockets[0].getsockname()[1] for server in self._servers]
@@ -176,7 +183,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
             "peer_listen": f"127.0.0.1:{self.letters}", "peers": [f"127.0.0.1:{self.letters}", "127.0.0.1:9"],
             "platform": {"address": f"127.0.0.1:{ports[1]}", "news": NEWS}, "settings": SETTINGS,
-            "known": json.loads(self.list_of(self.units)),
+            "known": json.loads(self.list_of(self.units if self.known else [])),
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(config))
 
@@ -198,7 +205,9 @@
 
     def _listed(self, caller: Caller, ask: Ask) -> None:
         self.lists.append(ask.target)
-        if self.spoil:
+        if not self.answers.is_set():
+            asyncio.get_running_loop().create_task(self._silent(caller, ask))
+        elif self.spoil:
             caller.write(self.spoil.pop(0))
             caller.close()
         elif b"from=" not in ask.target:
@@ -207,6 +216,11 @@
         else:
             asyncio.get_running_loop().create_task(self._hold(caller))
 
+    async def _silent(self, caller: Caller, ask: Ask) -> None:
+        await self.answers.wait()
+        if caller.transport is not None:
+            self._listed(caller, ask)
+
     async def _hold(self, caller: Caller) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._changed.wait(), 0.5)
@@ -224,11 +238,28 @@
                     writer.write(
                         json.dumps({"jsonrpc": "2.0", "id": call["id"], "result": True}).encode() + b"\n"
                     )
-                    writer.write(told(NEWS))
+                    if self.speaks:
+                        writer.write(told(NEWS))
                 elif (answer := self.judge(call)) is not None:
                     writer.write(answer)
         writer.close()
 
+    def plain(self, *texts: bytes) -> socket.socket:
+        """A client whose bytes are in the relay's kernel before the relay's loop turns again."""
+        sock = socket.create_connection(("127.0.0.1", self.port))
+        sock.sendall(messages.startup("app", "shop") + b"".join(messages.query(text) for text in texts))
+        self.plains.append(sock)
+        return sock
+
+    async def heard(self, sock: socket.socket) -> bytes:
+        """All that the relay says on a plain client's connection, up to its end."""
+        loop, found = asyncio.get_running_loop(), b""
+        sock.setblocking(False)
+        with contextlib.suppress(ConnectionError):
+            while more := await loop.sock_recv(sock, 65536):
+                found += more
+        return found
+
     async def client(self, start: bool = True) -> Client:
         client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
         self.writers.append(client.writer)
@@ -241,12 +272,20 @@
         while not what():
             await asyncio.sleep(0.01)
 
+    async def rested(self) -> None:
+        """Until the relay would use each connection to a unit again."""
+        links, loop = self.relay.links.links, asyncio.get_running_loop()
+        await self.until(lambda: all(link.rested <= loop.time() for link in links))
+
     def said(self, event: str) -> int:
         return sum(call.kwargs.get("event") == event for call in self.log.calls)
 
     async def close(self) -> None:
+        self.answers.set()
         for writer in self.writers:
             writer.close()
+        for sock in self.plains:
+            sock.close()
         self.relay.stop()
         async with asyncio.timeout(8):
             await self.run
@@ -256,6 +295,44 @@
             server.close()
 
 
+class Hand:
+    """A loop's clock and timers in the test's hand; all else is the loop's own."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop, self.now = loop, loop.time()
+        self.timers: list[Timer] = []
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, delay: float, call: Callable[..., object], *args: Any) -> Timer:
+        self.timers.append(Timer(self.now + delay, call, args))
+        return self.timers[-1]
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
+
+    def on(self, seconds: float) -> None:
+        """The clock goes on; timers that fall due are called, in their order."""
+        self.now += seconds
+        due = sorted((timer for timer in self.timers if timer.at <= self.now), key=lambda timer: timer.at)
+        self.timers = [timer for timer in self.timers if timer not in due]
+        for timer in due:
+            timer.fire()
+
+
+class Timer:
+    def __init__(self, at: float, call: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self.at, self._call, self._args, self._off = at, call, args, False
+
+    def cancel(self) -> None:
+        self._off = True
+
+    def fire(self) -> None:
+        if not self._off:
+            self._call(*self._args)
+
+
 def told(news: dict[str, Any]) -> bytes:
     return json.dumps({"jsonrpc": "2.0", "method": "stage", "params": news}).encode() + b"\n"
 
@@ -270,10 +347,14 @@
 
 
 @contextlib.asynccontextmanager
-async def platform(*units: Unit, sockets: int = 256) -> AsyncIterator[Platform]:
+async def platform(
+    *units: Unit, sockets: int = 256, known: bool = True, silent: bool = False, listening: bool = True
+) -> AsyncIterator[Platform]:
     with tempfile.TemporaryDirectory() as folder:
-        place = Platform(Path(folder), list(units), sockets)
-        await place.open()
+        place = Platform(Path(folder), list(units), sockets, known)
+        if silent:
+            place.answers.clear()
+        await place.open(listening)
         try:
             yield place
         finally:
--- /dev/null
+++ b/tests/test_crossings_clients.py
@@ -0,0 +1,274 @@
+"""What crosses on a client's connection, each held by the test at its byte: docs/node.md has the table."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import unittest
+from unittest import mock
+
+from lanelead.node import front as fronts
+from lanelead.node.client import Client
+from lanelead.pgwire import messages
+from tests.platform import Platform, Unit, good, platform, statement
+from tests.town import live
+
+
+class Held(Unit):
+    """A unit that reads each query, and answers all once the test lets it."""
+
+    def __init__(self, name: str = "u0") -> None:
+        self.may = asyncio.Event()
+        super().__init__(name, self._held)
+
+    async def _held(self, unit: Unit, text: bytes) -> bytes:
+        await self.may.wait()
+        return await good(unit, text)
+
+
+def met(place: Platform, sock: socket.socket) -> Client:
+    """The relay's end of a plain client's connection."""
+    return next(c for c in place.relay.front.clients if c.sock.getpeername() == sock.getsockname())
+
+
+async def taken_in(place: Platform, sock: socket.socket) -> Client:
+    await place.until(
+        lambda: any(c.sock.getpeername() == sock.getsockname() for c in place.relay.front.clients)
+    )
+    return met(place, sock)
+
+
+def wide(number: int) -> bytes:
+    """A statement of 50 KB."""
+    text = statement(f"{number}a").decode()
+    insert = f"INSERT INTO items (id, doc) VALUES ('ab12', '\\x{'00' * 25_000}') RETURNING doc"
+    return text.replace("SELECT doc FROM items WHERE id = 'ab12'", insert).encode()
+
+
+class Stopping(unittest.TestCase):
+    @live
+    async def test_all_that_waits_in_the_kernel_is_taken_and_answered(self) -> None:
+        async with platform(Unit("u0"), Unit("u1"), Unit("u2")) as place:
+            front, sock = place.relay.front, place.plain()
+            client = await taken_in(place, sock)
+            await place.until(lambda: client.reader.started)
+            sock.sendall(b"".join(messages.query(wide(number)) for number in range(3)))
+            client.leave()  # 150 KB have come, and the relay has read none of it
+            self.assertEqual(len(client.slots) + len(front.open) >= 3, True)
+            place.relay.after()
+            found = await place.heard(sock)
+            for number in range(3):
+                self.assertIn(b"value of %da" % number, found)
+
+    @live
+    async def test_a_crowd_in_the_queue_is_taken_in_whole(self) -> None:
+        async with platform(Unit("u0"), Unit("u1"), sockets=900) as place:
+            socks = [place.plain(statement(f"{number:x}")) for number in range(200)]
+            drained = asyncio.create_task(place.relay.front.drain(0, 3))
+            for number, sock in enumerate(socks):
+                found = await place.heard(sock)
+                self.assertTrue(b"value of %x" % number in found or b"C53300" in found, found[-80:])
+            await drained
+
+    @live
+    async def test_one_that_never_asked_may_ask_for_a_moment_and_is_then_sent_elsewhere(self) -> None:
+        async with platform(Unit("u0")) as place:
+            asks, silent = await place.client(), await place.client()
+            with mock.patch.object(fronts, "LINGER", 0.5):
+                drained = asyncio.create_task(place.relay.front.drain(0, 3))
+                await place.until(lambda: all(c.leaving for c in place.relay.front.clients))
+                self.assertTrue((await asks.ask("1a"))["D"].endswith(b"value of 1a"))
+                self.assertEqual(await asks.reader.read(), b"")
+                self.assertEqual((await silent.answer())["C"], b"57P03")
+                await drained
+
+    @live
+    async def test_half_a_request_is_waited_for(self) -> None:
+        async with platform(Unit("u0")) as place:
+            client, text = await place.client(), messages.query(statement("2a"))
+            await client.ask("1a")
+            client.writer.write(text[:40])
+            await place.until(lambda: any(c.reader.inside for c in place.relay.front.clients))
+            drained = asyncio.create_task(place.relay.front.drain(0, 3))
+            await place.until(lambda: any(c.closing for c in place.relay.front.clients))
+            client.writer.write(text[40:])
+            self.assertTrue((await client.answer())["D"].endswith(b"value of 2a"))
+            self.assertEqual(await client.reader.read(), b"")
+            await drained
+
+    @live
+    async def test_a_client_that_leaves_meanwhile_is_noticed(self) -> None:
+        unit = Held()
+        async with platform(unit) as place:
+            client = await place.client()
+            client.send("1a")
+            await place.until(lambda: len(unit.queries) == 1)
+            drained = asyncio.create_task(place.relay.front.drain(0, 3))
+            await place.until(lambda: all(c.closing for c in place.relay.front.clients))
+            client.writer.close()
+            await place.until(lambda: place.relay.driver.counts.left == 1)
+            await place.until(lambda: not place.relay.links.links)  # and its trip was called off
+            await drained
+
+    @live
+    async def test_what_comes_behind_a_lookup_that_waits_is_refused_and_harmless_to_repeat(self) -> None:
+        unit = Held()
+        async with platform(unit) as place:
+            client = await place.client()
+            client.send("1a")
+            await place.until(lambda: len(unit.queries) == 1)
+            drained = asyncio.create_task(place.relay.front.drain(0, 3))
+            await place.until(lambda: all(c.closing for c in place.relay.front.clients))
+            client.send("2a")
+            await place.until(lambda: place.relay.front.refused == 1)
+            unit.may.set()
+            self.assertTrue((await client.answer())["D"].endswith(b"value of 1a"))
+            self.assertEqual((await client.answer())["C"], b"53300")
+            self.assertEqual(await client.reader.read(), b"")
+            self.assertEqual(len(unit.queries), 1)
+            await drained
+
+    @live
+    async def test_an_answer_just_written_survives_the_end_and_what_crosses_it_stays_unread(self) -> None:
+        async with platform(Unit("u0")) as place:
+            sock = place.plain()
+            client = await taken_in(place, sock)
+            await place.until(lambda: client.reader.started)
+            sock.sendall(messages.query(statement("1a")))
+            client.leave()
+            place.relay.after()
+            await place.until(lambda: client.shut)
+            sock.sendall(messages.query(statement("2a")))  # its client has not seen the end yet
+            await place.until(lambda: client not in place.relay.front.clients)
+            found = await place.heard(sock)
+            self.assertIn(b"value of 1a", found)
+            self.assertNotIn(b"2a", found)
+            self.assertEqual((place.relay.driver.counts.taken, client.discarded), (1, 0))
+
+    @live
+    async def test_what_would_wait_longer_than_the_process_lives_is_broken_off(self) -> None:
+        unit = Held()
+        async with platform(unit) as place:
+            client = await place.client()
+            client.send("1a", left=1400)
+            await place.until(lambda: len(unit.queries) == 1)
+            await place.relay.front.drain(0, 0.1)
+            self.assertEqual((await client.answer())["C"], b"58000")
+            self.assertEqual((place.relay.front.clients, place.relay.driver.tickets), ({}, {}))
+
+    @live
+    async def test_after_sigterm_no_lookup_is_given_longer_than_the_process_lives(self) -> None:
+        async with platform(Unit("u0")) as place:
+            client, front = await place.client(), place.relay.front
+            front.end = asyncio.get_running_loop().time() + 0.3
+            with mock.patch.object(place.relay.driver, "take", wraps=place.relay.driver.take) as take:
+                await client.ask("1a", left=1400)
+            self.assertLessEqual(take.call_args.args[4], 3000)
+
+
+class Unreadable(unittest.TestCase):
+    @live
+    async def test_a_client_that_leaves_while_its_lookup_waits_is_noticed(self) -> None:
+        unit = Held()
+        with mock.patch.object(fronts, "MOMENT", 60):
+            async with platform(unit) as place:
+                client = await place.client()
+                client.send("1a")
+                client.writer.write(b"\0noise")
+                await place.until(lambda: place.relay.front.condemned == 1 and len(unit.queries) == 1)
+                client.writer.close()
+                await place.until(lambda: place.relay.driver.counts.left == 1)
+                await place.until(lambda: not place.relay.links.links)
+
+    @live
+    async def test_a_flood_behind_it_is_read_up_to_a_bound_and_hurts_nobody(self) -> None:
+        with mock.patch("lanelead.node.client.MOST_DISCARDED", 100_000):
+            async with platform(Held("u0"), Unit("u1")) as place:
+                rude, sock = await place.client(), place.plain(statement("1a"))
+                rude.send("2a")
+                rude.writer.write(b"\0noise")
+                await place.until(lambda: place.relay.front.condemned == 1)
+                judged = next(c for c in place.relay.front.clients if c.judged is not None)
+                rude.writer.write(b"x" * 10_000_000)
+                await place.until(lambda: not judged.reading or judged.sock.fileno() < 0)
+                self.assertLess(judged.discarded, 200_000)
+                met(place, sock)
+                self.assertIn("D", await (await place.client()).ask("3a", left=1400))
+
+
+class Ends(unittest.TestCase):
+    @live
+    async def test_the_sweep_ends_nothing_on_which_something_waits(self) -> None:
+        async with platform(Unit("u0")) as place:
+            socks = [place.plain(), place.plain()]
+            clients = [await taken_in(place, sock) for sock in socks]
+            await place.until(lambda: all(client.reader.started for client in clients))
+            for number, (sock, client) in enumerate(zip(socks, clients, strict=True)):
+                client.moved -= 100  # the relay stood still meanwhile
+                client.began -= 100
+                client.asked = number == 0
+                sock.sendall(messages.query(statement(f"{number}a")))
+            place.relay.front.sweep()
+            self.assertEqual([client.closing for client in clients], [False, False])
+            await place.until(lambda: place.relay.driver.counts.done == 2)
+
+    @live
+    async def test_one_that_says_nothing_is_told_to_go_elsewhere(self) -> None:
+        with mock.patch.object(fronts, "SILENCE", 0.1):
+            async with platform(Unit("u0")) as place:
+                self.assertEqual((await (await place.client()).answer())["C"], b"57P03")
+
+    @live
+    async def test_room_is_made_only_where_nothing_waits(self) -> None:
+        async with platform(Unit("u0"), sockets=64) as place:
+            front = place.relay.front
+            socks = [place.plain() for _ in range(front._most)]
+            for sock in socks:
+                client = await taken_in(place, sock)
+                await place.until(lambda client=client: client.reader.started)  # type: ignore[misc]
+                client.began -= 1
+            for sock in socks[:-1]:
+                sock.sendall(messages.query(statement(f"{socks.index(sock):x}")))
+            asks = place.plain(statement("ff"))
+            front._accept()  # before any of those is read
+            self.assertEqual((front.evicted, front.turned_off), (1, 0))
+            self.assertIn(b"C53300", await place.heard(socks[-1]))
+            await place.until(lambda: place.relay.driver.counts.done == len(socks))
+            asks.close()
+
+    @live
+    async def test_a_full_house_turns_off_with_a_refusal(self) -> None:
+        unit = Held()
+        async with platform(unit, Held("u1"), sockets=64) as place:
+            front = place.relay.front
+            for number in range(front._most):
+                place.plain(statement(f"{number:x}"))
+            await place.until(lambda: len(front.open) == front._most)
+            socks = [place.plain(statement(f"f{number:x}")) for number in range(20)]
+            front._accept()
+            self.assertEqual((front.turned_off, front.evicted, len(front.open)), (20, 0, front._most))
+            for sock in socks:
+                self.assertIn(b"C53300", await place.heard(sock))
+            await place.until(lambda: not front._turned)
+
+    @live
+    async def test_no_descriptor_left_makes_no_loop_that_spins(self) -> None:
+        async with platform(Unit("u0")) as place:
+            front, sock = place.relay.front, place.relay.front._sock
+            assert sock is not None
+            empty = mock.Mock(wraps=sock)
+            empty.accept = mock.Mock(side_effect=OSError(errno.EMFILE, "none left"))
+            empty.fileno = sock.fileno
+            front._sock = empty
+            front._accept()
+            front._accept()
+            asks = place.plain(statement("1a"))
+            turns = 0
+            while turns < 20:  # the loop turns, and nobody is called
+                await asyncio.sleep(0)
+                turns += 1
+            self.assertEqual(empty.accept.call_count, 2)
+            front._sock = sock
+            await place.until(lambda: place.relay.driver.counts.done == 1)  # it looks again by itself
+            asks.close()
--- /dev/null
+++ b/tests/test_crossings_units.py
@@ -0,0 +1,298 @@
+"""What crosses on a unit's connection, each held by the test at its byte: docs/node.md has the table."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import unittest
+from typing import Any, cast
+from unittest import mock
+
+from lanelead.decisions.interface import Fate, Unit as Known
+from lanelead.node.links import Links
+from lanelead.node.pools import Link
+from lanelead.pgwire.messages import READY, error, query
+from lanelead.protocols.platform import Endpoints, listed
+from lanelead.protocols.records import decode
+from tests.platform import Client, Hand, Platform, Unit, good, platform, row, statement
+from tests.town import live
+
+
+def in_hand(place: Platform) -> Hand:
+    """The clock and the timers of the relay's connections to units, in the test's hand."""
+    hand = Hand(asyncio.get_running_loop())
+    place.relay.links._loop = cast(asyncio.AbstractEventLoop, hand)
+    return hand
+
+
+def known(place: Platform, name: str = "u0") -> Known:
+    return place.relay.driver.door.units[name]
+
+
+def idle(place: Platform, name: str = "u0") -> list[Link]:
+    return place.relay.links._pools[known(place, name)].idle
+
+
+def tell(place: Platform, **fields: Any) -> None:
+    """The relay is told of the first unit anew, at once."""
+    found = json.loads(place.list_of(place.units[:1], full=False))
+    found["servers"][0] |= fields
+    place.relay._listed(listed(decode(json.dumps(found).encode(), Endpoints)))
+
+
+class Held(Unit):
+    """A unit that reads each query, and answers once the test lets it."""
+
+    def __init__(self, name: str = "u0") -> None:
+        self.may = asyncio.Semaphore(0)
+        super().__init__(name, self._held)
+
+    async def _held(self, unit: Unit, text: bytes) -> bytes | None:
+        await self.may.acquire()
+        return row(b"waiting=1") + READY if text == b"SHOW vitals" else await good(unit, text)
+
+
+class Probes(unittest.TestCase):
+    @live
+    async def test_the_timer_of_an_earlier_probe_ends_no_later_one(self) -> None:
+        unit = Held()
+        async with platform(unit) as place:
+            hand, links, heard = in_hand(place), place.relay.links, mock.Mock()
+            with mock.patch.object(place.relay.driver, "probed", heard):
+                unit.may.release()
+                place.relay.probe(known(place))
+                place.relay.after()
+                await place.until(lambda: heard.call_count == 1)
+                hand.on(0.2)  # the second sets out 0.05 s before the first one's time is over
+                place.relay.probe(known(place))
+                place.relay.after()
+                await place.until(lambda: len(unit.queries) == 2)
+                self.assertEqual((unit.connections, len(links.links)), (1, 1))
+                hand.on(0.1)
+                self.assertEqual((heard.call_count, len(links.links)), (1, 1))
+                unit.may.release()
+                await place.until(lambda: heard.call_count == 2)
+                self.assertEqual([call.args[1] for call in heard.call_args_list], [Fate.DONE] * 2)
+
+    @live
+    async def test_a_probe_that_fails_at_once_calls_nobody_back_within_the_call(self) -> None:
+        async with platform(Unit("u0")) as place:
+            await (await place.client()).ask("1a")
+            await place.rested()
+            idle(place)[0].sock.shutdown(socket.SHUT_WR)  # it looks sound, and takes no byte
+            with mock.patch.object(place.relay.driver, "probed", mock.Mock()) as heard:
+                place.relay.probe(known(place))
+                self.assertEqual(heard.call_count, 0)
+                place.relay.after()
+                self.assertEqual(heard.call_args.args[1], Fate.UNREACHABLE)
+
+
+class Idle(unittest.TestCase):
+    @live
+    async def test_a_second_answer_that_comes_late_is_no_later_lookups_value(self) -> None:
+        async def twice(unit: Unit, text: bytes) -> bytes:
+            if b"id=2a," in text:  # only now comes the second copy of the first answer, where that went
+                unit.writers[0].write(await good(unit, unit.queries[0]))
+                if len(unit.writers) == 1:
+                    return b""
+            return await good(unit, text)
+
+        async with platform(Unit("u0", twice)) as place:
+            in_hand(place)  # for the relay's pools no time passes
+            client = await place.client()
+            self.assertTrue((await client.ask("1a"))["D"].endswith(b"value of 1a"))
+            self.assertTrue((await client.ask("2a"))["D"].endswith(b"value of 2a"))
+
+    @live
+    async def test_an_answered_connection_is_used_again_after_its_rest(self) -> None:
+        async with platform(Unit("u0")) as place:
+            hand, client = in_hand(place), await place.client()
+            for number in range(3):
+                await client.ask(f"{number}a")
+                hand.on(0.02)
+            self.assertEqual(place.units[0].connections, 1)
+
+    @live
+    async def test_a_connection_that_breaks_right_before_its_question_never_ran_it(self) -> None:
+        async with platform(Unit("u0"), Unit("u1")) as place:
+            client = await place.client()
+            for number in range(8):
+                await client.ask(f"{number}a")
+                await place.rested()
+            links = place.relay.links
+            for link in links.links:
+                link.sock.shutdown(socket.SHUT_WR)
+            self.assertIn("D", await client.ask("9a", "file"))  # effectful, and yet it goes on
+            self.assertEqual(place.relay.driver.counts.fates.get(Fate.CUT), None)
+            self.assertGreaterEqual(place.relay.driver.counts.fates[Fate.UNREACHABLE], 1)
+
+    @live
+    async def test_a_unit_that_has_read_a_question_and_resets_may_have_run_it(self) -> None:
+        async def once(unit: Unit, text: bytes) -> bytes | None:
+            return None if b"id=2a," in text else await good(unit, text)
+
+        async with platform(Unit("u0", once)) as place:
+            client = await place.client()
+            await client.ask("1a", "file")
+            await place.rested()
+            self.assertEqual((await client.ask("2a", "file"))["C"], b"58000")
+            self.assertEqual(place.relay.driver.counts.fates[Fate.CUT], 1)
+            self.assertEqual(len(place.units[0].queries), 2)
+
+    @live
+    async def test_ready_that_comes_late_passes_the_answer_and_ends_the_connection(self) -> None:
+        answers = [row(b"first"), row(b"second") + READY]
+
+        async def without(unit: Unit, text: bytes) -> bytes:
+            return answers.pop(0)
+
+        async with platform(Unit("u0", without)) as place:
+            client = await place.client()
+            self.assertTrue((await client.ask("1a"))["D"].endswith(b"first"))
+            self.assertTrue((await client.ask("2a"))["D"].endswith(b"second"))
+            self.assertEqual(place.units[0].connections, 2)
+
+    @live
+    async def test_an_answer_before_the_question_is_whole_is_none(self) -> None:
+        class Narrow(socket.socket):
+            def __init__(self, *args: Any, **fields: Any) -> None:
+                super().__init__(*args, **fields)
+                self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+        async def hasty(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big") - 4)
+                writer.write(READY)
+                await reader.readexactly(100)  # of a question of 120,000 bytes
+                writer.write(row(b"not its value") + READY)
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(hasty, "127.0.0.1", 0, limit=1024)
+        server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        unit = Unit("u0")
+        async with platform(unit, Unit("u1")) as place:
+            unit.server.close()
+            tell(place, addr=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            client, text = await place.client(), statement("1a", "file").decode()
+            wide = text.replace(
+                "SELECT doc FROM items WHERE id = 'ab12'",
+                f"INSERT INTO items (id, doc) VALUES ('ab12', '\\x{'00' * 60_000}') RETURNING doc",
+            )
+            with mock.patch("lanelead.node.pools.socket.socket", Narrow):
+                for number in range(6):  # some of them go to the hasty one first
+                    client.writer.write(query(wide.replace("id=1a", f"id={number}a").encode()))
+                    answer = await client.answer()
+                    self.assertTrue(answer["D"].endswith(b"value of %da" % number), answer)
+            self.assertGreaterEqual(place.relay.links.spoilt, 1)
+            self.assertEqual(place.relay.driver.counts.fates.get(Fate.CUT), None)
+        server.close()
+
+
+class Connecting(unittest.TestCase):
+    async def _on_its_way(self, place: Platform, lane: str = "file") -> Client:
+        """A lookup whose connection has come up and has not been welcomed."""
+        unit = place.units[0]
+        unit.welcomes.clear()
+        client = await place.client()
+        client.send("1a", lane)
+        await place.until(lambda: unit.connections == 1)
+        return client
+
+    @live
+    async def test_a_unit_told_as_leaving_meanwhile_gets_nothing(self) -> None:
+        async with platform(Unit("u0")) as place:
+            in_hand(place)
+            client = await self._on_its_way(place)
+            tell(place, state="leaving")
+            place.units[0].welcomes.set()
+            self.assertEqual((await client.answer())["C"], b"53300")
+            self.assertEqual(place.units[0].queries, [])
+
+    @live
+    async def test_a_units_id_that_comes_back_elsewhere_or_with_another_build_is_another_unit(self) -> None:
+        for fields in ({"revision_no": 2}, {"started_ms": 5e11}):
+            async with platform(Unit("u0")) as place:
+                in_hand(place)
+                client = await self._on_its_way(place)
+                tell(place, **fields)
+                place.units[0].welcomes.set()
+                self.assertIn("D", await client.answer())
+                self.assertEqual((place.units[0].connections, len(place.units[0].queries)), (2, 1))
+        async with platform(Unit("u0"), Unit("u1")) as place:
+            in_hand(place)
+            other = place.units[1]
+            tell(place, id="u1", state="left")
+            client = await self._on_its_way(place)
+            tell(place, addr=f"127.0.0.1:{other.port}")
+            place.units[0].welcomes.set()
+            self.assertIn("D", await client.answer())
+            self.assertEqual((place.units[0].queries, len(other.queries)), ([], 1))
+
+    @live
+    async def test_a_connection_given_up_on_its_way_is_the_next_trips(self) -> None:
+        async with platform(Unit("u0")) as place:
+            in_hand(place)
+            client = await self._on_its_way(place)
+            client.writer.close()
+            await place.until(lambda: not place.relay.driver.tickets)
+            place.units[0].welcomes.set()
+            await place.until(lambda: len(idle(place)) == 1)
+            self.assertIn("D", await (await place.client()).ask("2a"))
+            self.assertEqual((place.units[0].connections, len(place.relay.links.links)), (1, 1))
+
+    @live
+    async def test_one_that_is_never_welcomed_ends_and_its_trip_never_ran(self) -> None:
+        async with platform(Unit("u0")) as place:
+            hand = in_hand(place)
+            client = await self._on_its_way(place)
+            place.turn(place.units[0], "leaving")
+            await place.until(lambda: known(place).condition.value == "draining")
+            hand.on(0.3)
+            self.assertEqual((await client.answer())["C"], b"53300")  # a shed: it never ran
+            self.assertEqual(place.relay.links.links, {})
+
+
+class Repeats(unittest.TestCase):
+    @live
+    async def test_an_answer_after_its_trip_was_given_up_reaches_nobody(self) -> None:
+        unit = Held()
+        async with platform(unit) as place:
+            client = await place.client()
+            self.assertEqual((await client.ask("1a", "file", left=200))["C"], b"58000")
+            unit.may.release()
+            unit.may.release()
+            self.assertTrue((await client.ask("2a"))["D"].endswith(b"value of 2a"))
+            self.assertEqual(place.relay.driver.counts.fates[Fate.TIMED_OUT], 1)
+            self.assertEqual(unit.connections, 2)
+
+    @live
+    async def test_a_turned_away_one_is_repeated_and_an_error_is_not(self) -> None:
+        for code, done in (("53300", True), ("XX000", False)):
+            answers = [error(code, "") + READY]
+
+            async def first(unit: Unit, text: bytes, answers: list[bytes] = answers) -> bytes:
+                return answers.pop() if answers else await good(unit, text)
+
+            async with platform(Unit("u0", first), Unit("u1", first)) as place:
+                answer = await (await place.client()).ask("1a", "file")
+                self.assertEqual("D" in answer, done)
+                self.assertEqual(sum(len(unit.queries) for unit in place.units), 1 + done)
+
+
+class Timers(unittest.TestCase):
+    @live
+    async def test_no_timer_stays_behind_an_end(self) -> None:
+        async with platform(Unit("u0")) as place:
+            hand, links = in_hand(place), place.relay.links
+            place.units[0].welcomes.clear()
+            place.relay.probe(known(place))
+            place.relay.after()
+            await place.until(lambda: place.units[0].connections == 1)
+            self.assertIsInstance(links, Links)
+            links.shut()
+            with mock.patch.object(place.relay.driver, "probed", mock.Mock()) as heard:
+                hand.on(1)
+                self.assertEqual(heard.call_count, 0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -240,6 +240,7 @@
         async with platform(Unit("u0")) as place:
             client = await place.client()
             await client.ask("1a")
+            await place.rested()
             await client.ask("2a")
             self.assertEqual(place.units[0].connections, 1)
             found = json.loads(place.list_of(place.units, full=False))
--- /dev/null
+++ b/tests/test_node_processes.py
@@ -0,0 +1,212 @@
+"""Real processes and real signals: SIGTERM, SIGHUP and SIGKILL at each step from the start to the end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from lanelead.pgwire import messages
+from tests.platform import Client, Platform, Unit, free_port, good, platform
+from tests.town import live
+
+ROOT = Path(__file__).parent.parent
+
+
+class Relay:
+    """A relay's process beside a platform's; its log is read as it comes."""
+
+    def __init__(self, place: Platform, process: asyncio.subprocess.Process, port: int) -> None:
+        self.place, self.process, self.port = place, process, port
+        self.log: list[dict[str, object]] = []
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while line := await self.process.stderr.readline():
+            with contextlib.suppress(json.JSONDecodeError):
+                self.log.append(json.loads(line))
+
+    def said(self, event: str) -> int:
+        return sum(line.get("event") == event for line in self.log)
+
+    async def until(self, event: str, times: int = 1) -> None:
+        while self.said(event) < times:
+            if self.process.returncode is not None and self._reading.done():
+                raise AssertionError(f"it ended with {self.process.returncode} before {event!r}: {self.log}")
+            await asyncio.sleep(0.01)
+
+    async def client(self) -> Client:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.place.writers.append(client.writer)
+        client.writer.write(messages.startup("app", "shop"))
+        await client.answer()
+        return client
+
+    async def ended(self) -> int:
+        code = await self.process.wait()
+        await self._reading
+        return code
+
+
+@contextlib.asynccontextmanager
+async def relay(*units: Unit, known: bool = True, silent: bool = False) -> AsyncIterator[Relay]:
+    """A process that the same discovery, desk and units serve as the relay in this one."""
+    async with platform(*units) as place:
+        if silent:
+            place.answers.clear()
+        config = json.loads((place.folder / "config.json").read_text())
+        port = free_port()
+        config |= {"listen": f"127.0.0.1:{port}", "peer_listen": "", "peers": []}
+        if not known:
+            config["known"] = {"version": 0, "full": True, "servers": []}
+        path = place.folder / "other.json"
+        path.write_text(json.dumps(config))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelead", "node", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": str(path)},
+        )  # fmt: skip
+        found = Relay(place, process, port)
+        try:
+            yield found
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await found.ended()
+
+
+class Signals(unittest.TestCase):
+    @live
+    async def test_sigterm_while_it_waits_for_its_first_list(self) -> None:
+        async with relay(Unit("u0"), known=False, silent=True) as one:
+            await one.until("told")
+            one.process.send_signal(signal.SIGTERM)
+            self.assertEqual(await one.ended(), 0)
+            self.assertEqual(one.said("stopped"), 1)
+
+    @live
+    async def test_sigterm_and_more_of_them_while_it_answers_what_it_took(self) -> None:
+        may = asyncio.Event()
+
+        async def held(unit: Unit, text: bytes) -> bytes:
+            await may.wait()
+            return await good(unit, text)
+
+        async with relay(Unit("u0", held)) as one:
+            await one.until("listening")
+            client = await one.client()
+            client.send("1a")
+            await one.place.until(lambda: len(one.place.units[0].queries) == 1)
+            for _ in range(3):
+                one.process.send_signal(signal.SIGTERM)
+            await one.until("draining")
+            one.process.send_signal(signal.SIGHUP)
+            await one.until("configuration read anew")
+            one.process.send_signal(signal.SIGINT)
+            may.set()
+            self.assertTrue((await client.answer())["D"].endswith(b"value of 1a"))
+            self.assertEqual(await one.ended(), 0)
+            self.assertEqual((one.said("draining"), one.said("stopped")), (1, 1))
+
+    @live
+    async def test_sighup_many_at_once_disturbs_no_lookup(self) -> None:
+        async with relay(Unit("u0"), Unit("u1")) as one:
+            await one.until("listening")
+            client = await one.client()
+            for number in range(5):
+                client.send(f"{number}a")
+                one.process.send_signal(signal.SIGHUP)
+                one.process.send_signal(signal.SIGHUP)
+                self.assertIn("D", await client.answer())
+            one.process.send_signal(signal.SIGTERM)
+            self.assertEqual(await one.ended(), 0)
+            self.assertGreaterEqual(one.said("configuration read anew"), 1)
+
+    @live
+    async def test_sigkill_frees_its_address_for_the_next(self) -> None:
+        async with relay(Unit("u0")) as one:
+            await one.until("listening")
+            client = await one.client()
+            one.process.kill()
+            self.assertEqual(await one.ended(), -signal.SIGKILL)
+            self.assertEqual(await client.reader.read(), b"")
+            again = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lanelead", "node", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                env={**os.environ, "NODE_CONFIG": str(one.place.folder / "other.json")},
+            )  # fmt: skip
+            two = Relay(one.place, again, one.port)
+            await two.until("listening")
+            self.assertIn("D", await (await two.client()).ask("1a"))
+            again.send_signal(signal.SIGTERM)
+            self.assertEqual(await two.ended(), 0)
+
+
+class Starts(unittest.TestCase):
+    def test_a_hangup_before_its_handler_stands_waits_for_it(self) -> None:
+        script = (
+            "import signal\nfrom unittest import mock\nfrom lanelead.node import main\n"
+            "def load(path):\n"
+            "    print(signal.SIGHUP in signal.pthread_sigmask(signal.SIG_BLOCK, set()))\n"
+            "    raise main.Malformed('seen enough')\n"
+            "with mock.patch.object(main, 'load', load): main.run('json')\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT, timeout=30,
+            env={**os.environ, "NODE_CONFIG": "any"},
+        )  # fmt: skip
+        self.assertEqual((done.stdout, done.returncode), ("True\n", 2), done.stderr)
+        self.assertIn("seen enough", done.stderr)
+
+    def test_a_file_that_can_not_be_used_ends_it_with_one_line_that_names_the_field(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "c.json"
+            path.write_text('{"name":"n","listen":"nowhere","discovery":"a:1","seed":"7","settings":{},'
+                            '"platform":{"address":"a:1","news":{"build":1,"stage":0,"phase":"live",'
+                            '"cap":1,"age_ms":0}}}')  # fmt: skip
+            done = subprocess.run(
+                [sys.executable, "-m", "lanelead", "node"], capture_output=True, text=True, cwd=ROOT,
+                timeout=30, env={**os.environ, "NODE_CONFIG": str(path)},
+            )  # fmt: skip
+        self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+        self.assertIn("listen", done.stderr)
+
+
+class Build(unittest.TestCase):
+    """`build` of deploy/balancer.toml, in a folder of its own, with stand-ins for what it calls."""
+
+    def _play(self, folder: Path, install: str) -> subprocess.CompletedProcess[str]:
+        (folder / "requirements.txt").write_text("click\n")
+        (folder / "lanelead").mkdir(exist_ok=True)
+        tools = folder / "tools"
+        tools.mkdir(exist_ok=True)
+        (tools / "python3").write_text(
+            "#!/bin/sh\necho venv >> log\nmkdir -p .venv/bin\n"
+            f"printf '#!/bin/sh\\necho install >> log\\n{install}\\n' > .venv/bin/pip\n"
+            "printf '#!/bin/sh\\nexit 0\\n' > .venv/bin/python\nchmod +x .venv/bin/pip .venv/bin/python\n"
+        )
+        (tools / "python3").chmod(0o755)
+        build = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["build"]
+        return subprocess.run(
+            ["/bin/sh", "-c", build], cwd=folder, capture_output=True, text=True, timeout=30,
+            env={**os.environ, "PATH": f"{tools}:{os.environ['PATH']}"},
+        )  # fmt: skip
+
+    def test_one_cut_off_half_way_does_not_pass_for_done(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            self.assertNotEqual(self._play(folder, "kill -9 $PPID").returncode, 0)
+            self.assertTrue((folder / ".venv").exists())
+            self.assertNotEqual(self._play(folder, "exit 1").returncode, 0)
+            self.assertEqual(self._play(folder, "exit 0").returncode, 0)
+            self.assertEqual((folder / "log").read_text().split(), ["venv", "install"] * 3)
+            self.assertEqual(self._play(folder, "exit 0").returncode, 0)
+            self.assertEqual((folder / "log").read_text().split(), ["venv", "install"] * 3)  # it was done
--- a/tests/test_node_signals.py
+++ b/tests/test_node_signals.py
@@ -15,6 +15,7 @@
 
 from lanelead.protocols.platform import Endpoints, listed
 from lanelead.protocols.records import decode
+from lanelead.pgwire import messages
 from tests.platform import Unit, good, platform
 from tests.town import live
 
@@ -27,7 +28,9 @@
             return await good(unit, text)
 
         async with platform(Unit("u0", slow), Unit("u1", slow), Unit("u2", slow)) as place:
-            held, idle = await place.client(), await place.client()
+            held, idle, new = await place.client(), await place.client(), await place.client()
+            idle.writer.write(messages.query(b""))
+            self.assertIn("I", await idle.answer())
             held.send("1a")
             os.kill(os.getpid(), signal.SIGTERM)
             await place.until(lambda: place.said("draining") == 1)
@@ -35,7 +38,10 @@
             late.send("2a")
             self.assertTrue((await held.answer())["D"].endswith(b"value of 1a"))
             self.assertTrue((await late.answer())["D"].endswith(b"value of 2a"))
+            # Between requests it may be closed without a word; one that never asked is told to go elsewhere.
             self.assertEqual(await idle.reader.read(), b"")
+            self.assertEqual((await new.answer())["C"], b"57P03")
+            self.assertEqual(await new.reader.read(), b"")
             await place.run
             with self.assertRaises(OSError):
                 await place.client()
@@ -95,6 +101,7 @@
                 client = await place.client()
                 await client.ask(f"{number:x}")
                 client.writer.close()
+                await place.rested()
             relay.links.sweep()
             await place.until(lambda: not relay.front.clients)
             driver = relay.driver
