--- a/lanelead/decisions/rollout.py
+++ b/lanelead/decisions/rollout.py
@@ -95,8 +95,8 @@
         few = self._trial.shares[news.stage] < 1 / 3 or len(self.calm) <= max(1, news.stage)
         if few or busier or (released and now - self.told > 10 * SECOND):
             return False
-        (slow, many), before, first = self._scoring.slowness(now), self.calm[0], self.calm[1]
-        shed = self._traffic.shed.read(now) / max(100, self._traffic.taken.read(now))
-        slow += int(many * shed)  # those would have been
+        (slow, n), before, first = self._scoring.slowness(now), self.calm[0], self.calm[1]
+        slow += int(n * self._traffic.shed.read(now) / max(100, self._traffic.taken.read(now)))  # as slow
+        own, of = self._scoring.slowness(now, news.build)  # what slows all alike slows its own units too
         worse = before + max(self._poll.delay_price / (2 if released else 4), 1.5 * (first - before))
-        return many >= 100 and slow > worse * many and z_score(slow, many, before, FULL) > 3
+        return n >= 100 and slow > worse * n and 2 * own >= worse * of and z_score(slow, n, before, FULL) > 3
--- a/lanelead/decisions/scoring.py
+++ b/lanelead/decisions/scoring.py
@@ -91,8 +91,8 @@
                 total += sign * self._score(faults, many, fault, base, gap, parts)
         return total
 
-    def slowness(self, now: Ticks) -> tuple[int, int]:
-        """Slow answers and outcomes lately, the worst quarter of the servers counted as the next best."""
+    def slowness(self, now: Ticks, build: int = 0) -> tuple[int, int]:
+        """Slow answers and outcomes lately from a build on; the worst quarter of servers as the next best."""
         ready = (w for w in self.windows.since(now - self._span) if w.server.condition is Condition.READY)
-        counts = tally((w for w in ready if w.outcomes), Fault.SLOW)
+        counts = tally((w for w in ready if w.outcomes and w.build >= build), Fault.SLOW)
         return tamed(counts, len(counts) - len(counts) // 4)
--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -166,16 +166,19 @@
             elif client.owed:
                 if client.moved < now - 2 * SILENCE:
                     client.gone()
-            elif not client.slots and still(client.sock):
-                if client.reader.inside and client.moved < now - SILENCE:
-                    client.condemn("08P01", "the rest of a message never came")
-                elif not client.asked and client.began < now - SILENCE:
-                    client.refuse(LEAVING, "nothing was asked in time")
-                elif client.moved < now - IDLE:
-                    client.close()
+            elif not client.slots and (end := self._overdue(client, now)) and still(client.sock):
+                end()
                 client.flush()
         self.after()
 
+    def _overdue(self, client: Client, now: float) -> Callable[[], None] | None:
+        """How to end a connection that has said nothing for too long; None where it has not."""
+        if client.reader.inside and client.moved < now - SILENCE:
+            return lambda: client.condemn("08P01", "the rest of a message never came")
+        if not client.asked and client.began < now - SILENCE:
+            return lambda: client.refuse(LEAVING, "nothing was asked in time")
+        return client.close if client.moved < now - IDLE else None
+
     async def drain(self, linger: float, most: float) -> None:
         """Serves on for `linger` seconds, since clients still come; then takes in what has come, and answers
         all of it within `most` seconds. No connection stays open unasked; what would wait longer than that is
--- /dev/null
+++ b/tests/test_creeping.py
@@ -0,0 +1,31 @@
+"""When a build is sent back because the whole fleet has grown slower."""
+
+from __future__ import annotations
+
+import unittest
+
+from lanelead.decisions.interface import SECOND, Fate, News, Phase
+from lanelead.decisions.scoring import Fault
+from lanelead.decisions.servers import mine
+from tests.fake import PURE, FakeHost
+
+
+class Creeping(unittest.TestCase):
+    def test_what_slows_the_earlier_units_alone_is_not_the_builds_doing(self) -> None:
+        # roll+mass 3403, 30 relays: 103 of 265 slow at the earlier build's units, none of 112 at its own.
+        for old, new, creeps in ((60, 0, False), (60, 60, True), (60, 20, True), (5, 5, False)):
+            host = FakeHost(now=20 * SECOND)
+            built = host.listed(2, since=1)
+            for stage in range(3):
+                for unit in (*host.units, built):
+                    host.relay._scoring.record(mine(unit), PURE, {}, host.relay.now, 100)
+                host.relay._rollout.calm_rate = 1000.0
+                host.news(2, stage, Phase.TRIAL, 0.1)
+                host.run(20 * SECOND)
+            host.relay._rollout.calm_rate = 1000.0
+            for unit in (*host.units, built):
+                slow = new if unit is built else old
+                host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: slow}, host.relay.now, 100)
+            told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
+            found = host.relay._rollout.creeping(told, host.relay.now)
+            self.assertEqual(found, creeps, (old, new))
