--- a/lanelead/node/client.py
+++ b/lanelead/node/client.py
@@ -277,11 +277,12 @@
         self.flush()
 
     def refuse(self, code: str, text: str) -> None:
-        """Ends a connection that has not asked, with a refusal that tells its client to go elsewhere."""
-        if self.closing:
+        """Ends a connection that has not asked, with a refusal that tells its client to go elsewhere. It is
+        the answer to whatever crosses it, which is dropped: a request that is refused must never run."""
+        if self.closing or self.sock.fileno() < 0:
             return
         self.front.refused += 1
-        self.closing = True
+        self.closing, self.judged = True, self.front.loop.time()
         self._say(messages.error(code, text, fatal=True))
         self.flush()
 
--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -199,8 +199,10 @@
         while self.clients and self.loop.time() < moment:
             await asyncio.sleep(0.02)
         for client in list(self.clients):
+            client.leave()  # its request may have come just now
             if not client.asked and not client.reader.inside:
                 client.refuse(LEAVING, "this relay stops: nothing ran")
+        self.after()
         while self.clients and self.loop.time() < self.end:
             await asyncio.sleep(0.02)
         for client in list(self.clients):
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -166,6 +166,38 @@
                 await client.ask("1a", left=1400)
             self.assertLessEqual(take.call_args.args[4], 3000)
 
+    @live
+    async def test_a_request_that_crosses_its_refusal_is_refused_and_never_runs(self) -> None:
+        async with platform(Unit("u0")) as place:
+            sock = place.plain()
+            client = await taken_in(place, sock)
+            await place.until(lambda: client.reader.started)
+            sock.sendall(messages.query(statement("1a")))
+            client.refuse("57P03", "go elsewhere")  # the relay has read none of it
+            found = await place.heard(sock)
+            self.assertEqual((found.count(b"SFATAL"), b"value of" in found), (1, False))
+            self.assertEqual((place.units[0].queries, place.relay.driver.counts.taken), ([], 0))
+
+    @live
+    async def test_a_first_request_that_came_at_the_last_moment_is_answered(self) -> None:
+        async with platform(Unit("u0")) as place:
+            sock = place.plain()
+            client = await taken_in(place, sock)
+            await place.until(lambda: client.reader.started)
+            with mock.patch.object(Client, "refuse", autospec=True, side_effect=Client.refuse) as refuse:
+                with mock.patch.object(fronts, "LINGER", 0):
+
+                    def leave(one: Client) -> None:
+                        if one.leaving:  # the second look, right before it would be refused
+                            sock.sendall(messages.query(statement("1a")))
+                        kept(one)
+
+                    kept = Client.leave
+                    with mock.patch.object(Client, "leave", leave):
+                        await place.relay.front.drain(0, 3)
+                self.assertEqual(refuse.call_count, 0)
+            self.assertIn(b"value of 1a", await place.heard(sock))
+
 
 class Unreadable(unittest.TestCase):
     @live
