--- a/lanelead/decisions/rollout.py
+++ b/lanelead/decisions/rollout.py
@@ -89,8 +89,7 @@
         return []
 
     def creeping(self, news: News, now: Ticks) -> bool:
-        """Have most units grown slower since stage 1 than up to it, or far slower right at the release, but
-        not busier? Guards against a build that slows all alike; other troubles of all could mislead it."""
+        """Have most units, its own too, grown slower since stage 1, not busier? Other troubles mislead."""
         released, busier = news.phase is Phase.RELEASED, self._traffic.busy.read(now) > 1.3 * self.calm_rate
         few = self._trial.shares[news.stage] < 1 / 3 or len(self.calm) <= max(1, news.stage)
         if few or busier or (released and now - self.told > 10 * SECOND):
--- a/lanelead/decisions/scoring.py
+++ b/lanelead/decisions/scoring.py
@@ -94,5 +94,6 @@
     def slowness(self, now: Ticks, build: int = 0) -> tuple[int, int]:
         """Slow answers and outcomes lately from a build on; the worst quarter of servers as the next best."""
         ready = (w for w in self.windows.since(now - self._span) if w.server.condition is Condition.READY)
-        counts = tally((w for w in ready if w.outcomes and w.build >= build), Fault.SLOW)
+        ripe = (w for w in ready if not build or w.start >= w.server.listed + self._ripe)  # as scored
+        counts = tally((w for w in ripe if w.outcomes and w.build >= build), Fault.SLOW)
         return tamed(counts, len(counts) - len(counts) // 4)
--- a/tests/test_creeping.py
+++ b/tests/test_creeping.py
@@ -29,3 +29,20 @@
             told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
             found = host.relay._rollout.creeping(told, host.relay.now)
             self.assertEqual(found, creeps, (old, new))
+
+    def test_units_too_new_to_be_scored_speak_for_no_build(self) -> None:
+        # calm+mass 652807931537, 200 relays: a build that slowed all reached all units, back 4.5 s later.
+        host = FakeHost(now=20 * SECOND)
+        for stage in range(3):
+            for unit in host.units:
+                host.relay._scoring.record(mine(unit), PURE, {}, host.relay.now, 100)
+            host.news(2, stage, Phase.TRIAL, 0.1)
+            host.run(20 * SECOND)
+        host.relay._rollout.calm_rate = 1000.0
+        fresh = host.listed(2, since=host.relay.now)
+        host.run(2 * SECOND)
+        for unit in (*host.units, fresh):
+            host.relay._scoring.record(mine(unit), PURE, {Fault.SLOW: 60}, host.relay.now, 100)
+        host.relay._rollout.calm_rate = 1000.0
+        told = News(2, 2, Phase.TRIAL, 0.1, 0, False, Fate.DONE)
+        self.assertTrue(host.relay._rollout.creeping(told, host.relay.now))
