--- /dev/null
+++ b/benchmarks/slopes/__main__.py
@@ -0,0 +1,102 @@
+"""Measures, prints and plots the costs that docs/CAPACITY.md is worked out from.
+
+    .venv/bin/python -m benchmarks.slopes      # all subjects; docs/CAPACITY.md says how long it takes
+    .venv/bin/python -m benchmarks.slopes --only decisions,letters
+    .venv/bin/python -m benchmarks.slopes --small --out FOLDER   # small sizes only: a look
+
+Points are kept in `slopes.json` in the folder given, by subject and name; a run replaces those it measured.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from importlib import import_module
+from pathlib import Path
+
+import click
+import matplotlib
+import msgspec
+from tqdm import tqdm
+
+from benchmarks.slopes.series import Series, fit, reference_us
+
+SUBJECTS = (
+    "decisions", "lists", "letters", "tenants", "latency",
+    "configuration", "membership", "restarts", "losses", "hollow",
+)  # fmt: skip
+
+
+def kept(path: Path) -> list[Series]:
+    return msgspec.json.decode(path.read_bytes(), type=list[Series]) if path.exists() else []
+
+
+def keep(path: Path, fresh: list[Series]) -> list[Series]:
+    """Replaces the series of the same subject and name, in order of subject and name."""
+    table = {(series.subject, series.name): series for series in [*kept(path), *fresh]}
+    path.parent.mkdir(parents=True, exist_ok=True)
+    found = [table[at] for at in sorted(table)]
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1) + b"\n")
+    return found
+
+
+def show(series: Series) -> str:
+    line = fit(series.points)
+    points = "  ".join(f"{size:g}: {value:.4g}" for size, value in series.points)
+    grown = f"{line.start:.4g} + {line.slope:.4g} (+-{line.slope_spread:.2g}) x {series.by}"
+    power = f"power {line.power:.2f} (+-{line.power_spread:.2f})"
+    return f"{series.subject}.{series.name} [{series.unit}]\n    {points}\n    {grown}; {power}"
+
+
+def plot(subject: str, some: list[Series], folder: Path) -> Path:
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    units = list(dict.fromkeys((series.unit, series.by) for series in some))
+    figure, axes = plt.subplots(1, len(units), figsize=(6 * len(units), 4.5), squeeze=False)
+    for axis, (unit, by) in zip(axes[0], units, strict=True):
+        for series in some:
+            if (series.unit, series.by) != (unit, by):
+                continue
+            line, sizes = fit(series.points), [size for size, _ in series.points]
+            drawn_at = [max(line.at(size), 1e-9) for size in sizes]
+            (drawn,) = axis.plot(sizes, [value for _, value in series.points], "o", label=series.name)
+            axis.plot(
+                sizes, [max(line.at(size), 1e-9) for size in sizes], "-", color=drawn.get_color(), lw=0.8
+            )
+        axis.set(xscale="log", yscale="log", xlabel=by, ylabel=unit)
+        axis.grid(True, which="major", alpha=0.3)
+        axis.legend(fontsize=7)
+    figure.suptitle(f"{subject}: points and fitted lines")
+    figure.tight_layout()
+    path = folder / f"{subject}.png"
+    figure.savefig(path, dpi=80)
+    plt.close(figure)
+    return path
+
+
+@click.command()
+@click.option("--only", default="", help="Subjects, with commas between.")
+@click.option("--small", is_flag=True, help="Small sizes only: a look.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("docs/capacity"))
+def main(only: str, small: bool, out: Path) -> None:
+    chosen = [name for name in only.split(",") if name] or list(SUBJECTS)
+    head = ["git", "rev-parse", "--short", "HEAD"]
+    commit = subprocess.run(head, capture_output=True, text=True, check=True).stdout.strip()
+    for subject in tqdm(chosen, file=sys.stderr, disable=None):
+        module = import_module(f"benchmarks.slopes.{subject}")
+        reference = reference_us()
+        measured: list[Series] = module.measure(small)
+        at = time.strftime("%Y-%m-%d", time.gmtime())
+        stamped = [
+            msgspec.structs.replace(series, commit=commit, at=at, reference_us=round(reference, 1))
+            for series in measured
+        ]
+        found = keep(out / "slopes.json", stamped)
+        for series in stamped:
+            print(show(series), flush=True)
+        plot(subject, [series for series in found if series.subject == subject], out)
+
+
+main()
