--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -62,9 +62,7 @@
             line, sizes = fit(series.points), [size for size, _ in series.points]
             drawn_at = [max(line.at(size), 1e-9) for size in sizes]
             (drawn,) = axis.plot(sizes, [value for _, value in series.points], "o", label=series.name)
-            axis.plot(
-                sizes, [max(line.at(size), 1e-9) for size in sizes], "-", color=drawn.get_color(), lw=0.8
-            )
+            axis.plot(sizes, drawn_at, "-", color=drawn.get_color(), lw=0.8)
         axis.set(xscale="log", yscale="log", xlabel=by, ylabel=unit)
         axis.grid(True, which="major", alpha=0.3)
         axis.legend(fontsize=7)
