--- /dev/null
+++ b/lanelead/protocols/configuration.py
@@ -0,0 +1,163 @@
+"""The records of configuration that is told by version and change: what machines, relays and operators say.
+
+JSON over HTTP/1.1. The document is a table of entries, each a key (`kind/name`) with a value; a change sets
+or removes some of them and makes the next version, the last one plus one. docs/configuration.md has the calls.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from lanelead.protocols.records import Positive, Whole
+
+FORM = 1  # of these records; a field that an earlier form lacks has a default here
+ENTRIES = 1000  # of one change, at most
+VALUE = 16384  # bytes of one value, as JSON
+BUCKETS = 4096  # of a document: entries go by a hash of their key, and each bucket has a digest
+Key = Annotated[str, Meta(min_length=3, max_length=200, pattern=r"^[a-z][a-z0-9_-]{0,31}/.+$")]
+Ident = Annotated[str, Meta(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{32}$")]
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """`value`: any JSON; absent or null: the key is removed."""
+
+    key: Key
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class Change(msgspec.Struct, frozen=True):
+    """`ident` is the publisher's own: the same change asked for twice is made once. `digest`: of the whole
+    document once this change is in it."""
+
+    version: Whole
+    ident: Ident
+    digest: Digest
+    entries: Annotated[list[Entry], Meta(min_length=1, max_length=ENTRIES)]
+    at_ms: Positive = 0.0  # when it was asked for, Unix time
+
+
+# What a relay (a follower) and a machine (a source) say to each other
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One line of a watch: a sign of life, changes in order, or that the follower has to repair.
+
+    `history`: which succession of versions this is (the ident of the first change); another one is not
+    followed. `head`: the newest version that the source knows. `behind_ms`: how long ago it last heard from a
+    majority of the machines."""
+
+    history: Ident
+    head: Whole
+    behind_ms: Positive
+    changes: list[Change] = []
+    repair: bool = False
+    form: int = FORM
+
+
+class Outline(msgspec.Struct, frozen=True):
+    """The digests of a snapshot's buckets, hexadecimal, 16 digits each, one after another."""
+
+    history: Ident
+    version: Whole
+    digest: Digest
+    buckets: Annotated[str, Meta(max_length=BUCKETS * 16)]
+    form: int = FORM
+
+
+class Buckets(msgspec.Struct, frozen=True):
+    """Some buckets of the snapshot of that version, whole: number and entries."""
+
+    version: Whole
+    buckets: dict[int, list[Entry]]
+    form: int = FORM
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """What a relay has in force, and which keys it could not take: told after changes, and now and then."""
+
+    relay: Whole
+    version: Whole
+    refused: Annotated[list[str], Meta(max_length=20)] = []
+    refusals: Whole = 0  # since its start
+    form: int = FORM
+
+
+# What an operator and a machine say
+
+
+class Proposal(msgspec.Struct, frozen=True):
+    """`expect`: keys that may only be changed if no version after the one named has changed them."""
+
+    ident: Ident
+    entries: Annotated[list[Entry], Meta(min_length=1, max_length=ENTRIES)]
+    expect: dict[str, Whole] = {}
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    version: Whole
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """`unknown`: it may or may not be made; ask again with the same ident. Else nothing was changed."""
+
+    why: Literal["malformed", "stale", "unknown", "overloaded", "abstains"]
+    text: str
+
+
+# What machines say to each other: one decision a version, as in Lamport, "Paxos Made Simple" (2001)
+
+
+class Ballot(msgspec.Struct, frozen=True, order=True):
+    number: Whole = 0
+    machine: Whole = 0
+
+
+class Prepare(msgspec.Struct, frozen=True):
+    version: Whole  # the one that is to be decided: the last known one plus one
+    ballot: Ballot
+
+
+class Promise(msgspec.Struct, frozen=True):
+    """`word`: promised, refused (a higher ballot was promised: `ballot`), behind (this machine lacks earlier
+    versions), ahead (this version is decided; `head` says how far), abstains (it lost its disk)."""
+
+    word: Literal["promised", "refused", "behind", "ahead", "abstains"]
+    head: Whole
+    ballot: Ballot = Ballot()
+    accepted: Ballot | None = None
+    change: Change | None = None
+
+
+class Accept(msgspec.Struct, frozen=True):
+    ballot: Ballot
+    change: Change
+
+
+class Vote(msgspec.Struct, frozen=True):
+    word: Literal["accepted", "refused", "behind", "ahead", "abstains"]
+    head: Whole
+    ballot: Ballot = Ballot()
+
+
+class Sign(msgspec.Struct, frozen=True):
+    """A machine's sign of life to another, and the answer to it."""
+
+    machine: Whole
+    history: str  # empty: none yet
+    head: Whole
+    empty: bool = False  # it has nothing on its disk and abstains
+    form: int = FORM
+
+
+class Log(msgspec.Struct, frozen=True):
+    """Decided changes in order, from the version asked for; fewer than there are where they are many.
+    `whole`: the earliest are not kept any more, and a snapshot has to be taken."""
+
+    history: str
+    head: Whole
+    changes: list[Change]
+    whole: bool = False
