--- a/lanelead/protocols/configuration.py
+++ b/lanelead/protocols/configuration.py
@@ -1,7 +1,7 @@
 """The records of configuration that is told by version and change: what machines, relays and operators say.
 
 JSON over HTTP/1.1. The document is a table of entries, each a key (`kind/name`) with a value; a change sets
-or removes some of them and makes the next version, the last one plus one. docs/configuration.md has the calls.
+or removes some of them and makes the next version, the last one plus one. docs/configuration.md has calls.
 """
 
 from __future__ import annotations
