A document of entries with a digest that changes by as much as it does

Cause: machines and relays have to tell at once whether they hold the same, and which part differs. Change: lanelead/configuration/document.py: changes in order and whole, or whole buckets in repair; bounds on entries and bytes; own errors.

--- /dev/null
+++ b/lanelead/configuration/document.py
@@ -0,0 +1,207 @@
+"""The document: all entries in force at one version, with a digest that two holders compare.
+
+Rules:
+1. A document changes only by the change that follows its version, or by whole buckets while it is repaired.
+2. A change is taken whole or not at all; what would come out with another digest than the change names is not
+   taken.
+3. The digest is of keys and values alone, not of how they came about: a relay that starts with yesterday's
+   file lacks only the buckets that differ.
+
+A bucket's digest is the sum of its entries' hashes modulo 2^64, so that a change costs by its own size (an
+incremental hash of a set: Bellare and Micciancio, EUROCRYPT 1997); the document's is the hash of all of them.
+It guards against loss and mistakes, not against somebody who forges entries.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from hashlib import blake2b
+from struct import Struct, error
+
+import msgspec
+
+from lanelead.protocols.configuration import BUCKETS, VALUE, Change, Entry, Outline
+
+GONE = b"null"
+MODULUS = 1 << 64
+SUMS = Struct(f">{BUCKETS}Q")
+
+
+class Refused(Exception):
+    """A change or a bucket that was not taken; the document is as it was."""
+
+
+class OutOfOrder(Refused):
+    """It does not follow the version held: ask for the changes between."""
+
+
+class Differs(Refused):
+    """The digest would come out otherwise than the other end says: compare the buckets."""
+
+
+class TooLarge(Refused):
+    """Over the document's bounds: raise them in the settings, or remove entries first."""
+
+
+class Unreadable(Refused):
+    """A value that can't be read: mend it where it was written."""
+
+
+def bucket_of(key: str) -> int:
+    return int.from_bytes(blake2b(key.encode(), digest_size=2).digest(), "big") % BUCKETS
+
+
+def _hash(key: str, value: bytes) -> int:
+    text = key.encode() + b"\0" + value
+    return int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
+
+
+def canonical(value: msgspec.Raw | bytes) -> bytes:
+    """The same value as the same bytes, whatever spaces and order of fields it had. Raises Unreadable."""
+    try:
+        return msgspec.json.encode(msgspec.json.decode(bytes(value)), order="sorted")
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as fault:
+        raise Unreadable(f"a value that is no JSON: {str(fault)[:100]}") from None
+
+
+class Document:
+    """`most`, `most_bytes`: entries, and bytes of keys and values, that it may hold."""
+
+    def __init__(self, most: int = 200_000, most_bytes: int = 64 << 20) -> None:
+        self.version = 0
+        self.entries: dict[str, bytes] = {}
+        self.changed: dict[str, int] = {}  # the version at which a key last changed, as far as it is known
+        self.size = 0  # bytes of keys and values
+        self._most, self._most_bytes = most, most_bytes
+        self._sums = [0] * BUCKETS
+        self._keys: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+
+    @property
+    def digest(self) -> str:
+        return _root(self._sums)
+
+    def get(self, key: str) -> bytes | None:
+        return self.entries.get(key)
+
+    def copy(self) -> Document:
+        other = Document(self._most, self._most_bytes)
+        other.version, other.size = self.version, self.size
+        other.entries, other.changed = self.entries.copy(), self.changed.copy()
+        other._sums, other._keys = self._sums.copy(), [keys.copy() for keys in self._keys]
+        return other
+
+    def after(self, entries: Sequence[Entry]) -> str:
+        """The digest if these were set. Raises TooLarge."""
+        wanted = _wanted(entries)
+        self._bounded(wanted)
+        sums = dict[int, int]()
+        for key, value in wanted.items():
+            place = bucket_of(key)
+            sums[place] = (sums.get(place, self._sums[place]) + self._delta(key, value)) % MODULUS
+        every = self._sums.copy()
+        for place, total in sums.items():
+            every[place] = total
+        return _root(every)
+
+    def apply(self, change: Change) -> None:
+        if change.version != self.version + 1:
+            raise OutOfOrder(f"version {change.version}, where {self.version} is held")
+        if self.after(change.entries) != change.digest:
+            raise Differs(f"version {change.version} would come out otherwise than its digest says")
+        for key, value in _wanted(change.entries).items():
+            self._set(key, value)
+            self.changed[key] = change.version
+        self.version = change.version
+
+    def load(self, entries: Iterable[tuple[str, bytes]]) -> None:
+        """Sets entries beside any version: what stands in a file at start. Raises TooLarge."""
+        wanted = {key: canonical(value) for key, value in entries}
+        self._bounded(wanted)
+        for key, value in wanted.items():
+            self._set(key, value)
+
+    # Repair
+
+    def outline(self, history: str) -> Outline:
+        sums = SUMS.pack(*self._sums).hex()
+        return Outline(history, self.version, self.digest, sums)
+
+    def differing(self, outline: Outline) -> list[int]:
+        """The buckets that are not as the outline has them."""
+        theirs = sums_of(outline)
+        return [place for place in range(BUCKETS) if self._sums[place] != theirs[place]]
+
+    def bucket(self, place: int) -> list[Entry]:
+        return [Entry(key, msgspec.Raw(self.entries[key])) for key in self._keys[place]]
+
+    def replace(self, place: int, entries: Sequence[Entry], digest: int) -> None:
+        """A whole bucket of another version, as the other end has it. Raises Differs and TooLarge."""
+        wanted = _wanted(entries)
+        total = sum(_hash(key, value) for key, value in wanted.items()) % MODULUS
+        if total != digest or any(bucket_of(key) != place for key in wanted):
+            raise Differs(f"bucket {place} does not have the digest that its outline names")
+        gone = {key: GONE for key in self._keys[place] if key not in wanted}
+        self._bounded(wanted | gone)
+        for key, value in (gone | wanted).items():
+            self._set(key, value)
+
+    def settle(self, outline: Outline) -> None:
+        """All buckets are as the outline has them: this is that version now. Raises Differs."""
+        if self.digest != outline.digest:
+            raise Differs(f"not yet version {outline.version}")
+        self.version = outline.version
+
+    def __iter__(self) -> Iterator[tuple[str, bytes]]:
+        return iter(self.entries.items())
+
+    def _delta(self, key: str, value: bytes) -> int:
+        old = self.entries.get(key)
+        return (_hash(key, value) if value != GONE else 0) - (_hash(key, old) if old is not None else 0)
+
+    def _set(self, key: str, value: bytes) -> None:
+        place, old = bucket_of(key), self.entries.get(key)
+        self._sums[place] = (self._sums[place] + self._delta(key, value)) % MODULUS
+        self.size += _size(key, value) - (_size(key, old) if old is not None else 0)
+        if value != GONE:
+            self.entries[key] = value
+            self._keys[place][key] = None
+        else:
+            self.entries.pop(key, None)
+            self._keys[place].pop(key, None)
+            self.changed.pop(key, None)
+
+    def _bounded(self, wanted: Mapping[str, bytes]) -> None:
+        """Guards against a document that outgrows the memory of those who hold it."""
+        for key, value in wanted.items():
+            if len(value) > VALUE:
+                raise TooLarge(f"{key[:80]}: {len(value)} bytes, of {VALUE} at most")
+        held = self.entries
+        many = len(held) + sum((value != GONE) - (key in held) for key, value in wanted.items())
+        size = self.size + sum(
+            _size(key, value) - (_size(key, held[key]) if key in held else 0) for key, value in wanted.items()
+        )
+        if (many > self._most and many > len(held)) or (size > self._most_bytes and size > self.size):
+            raise TooLarge(f"{many} entries of {size} bytes, of {self._most} and {self._most_bytes} at most")
+
+
+def sums_of(outline: Outline) -> tuple[int, ...]:
+    """Raises Differs where it is not of this form."""
+    try:
+        sums = SUMS.unpack(bytes.fromhex(outline.buckets))
+    except (ValueError, error) as fault:
+        raise Differs(f"not an outline: {str(fault)[:100]}") from None
+    if _root(sums) != outline.digest:
+        raise Differs("an outline whose digest is not that of its buckets")
+    return sums
+
+
+def _wanted(entries: Sequence[Entry]) -> dict[str, bytes]:
+    return {entry.key: canonical(entry.value) for entry in entries}
+
+
+def _size(key: str, value: bytes) -> int:
+    return len(key.encode()) + len(value) if value != GONE else 0
+
+
+def _root(sums: Sequence[int]) -> str:
+    return blake2b(SUMS.pack(*sums), digest_size=16).hexdigest()
