Followers of a configuration, what a machine tells them, and kinds of entries, without I/O

Cause: a change has to reach 600 relays within 3 s at 4 KB/s each, also while sources die, lag or are cut off.

--- /dev/null
+++ b/lanelead/configuration/follower.py
@@ -0,0 +1,382 @@
+"""What a relay does to have the newest configuration in force, and to keep the last good one whatever comes.
+
+Rules:
+1. What is in force is a whole version: changes are taken in order, each whole; a repair is made on a copy and
+   comes into force when its digest is the source's.
+2. It never goes back: a source whose head is lower, or of another history, changes nothing.
+3. It follows one source, the nearest that answers and hears a majority of the machines; an older word is
+   followed where no fresher one is to be had.
+4. What it hears nothing of stays in force, for as long as that lasts.
+5. A repair fetches only buckets that differ, at a bounded rate, and goes on at another source if it is cut.
+
+Without sockets and clocks: the host carries out the acts and tells what came of them. Times are seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from lanelead.configuration.document import Document, Refused, bucket_of, sums_of
+from lanelead.protocols.configuration import Applied, Buckets, Line, Outline
+
+SILENCE = 1.2  # seconds without a line; a source writes one each 0.4 s
+OPENS = 0.7  # seconds until the first line, or two silent sources would be longer than a change may take
+STALE = 1500.0  # milliseconds since a source heard a majority, after which a fresher one is looked for
+AGAIN = (0.1, 5.0)  # seconds until a source that failed is asked again: the first time, and at most
+SETTLED = (5.0, 10.0)  # seconds for which an old word is followed before others are tried again
+NEARER = (20.0, 40.0)  # seconds after which a nearer source is tried again
+ANSWER = 3.0  # seconds for an outline or buckets
+PART = 16384  # bytes of buckets asked for at once, about
+FIRST = 16  # buckets asked for first, while their size is not known
+APPLIED = 0.2  # seconds between two words on what is in force, at the least
+SIGN = 10.0  # and at the most
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where a source listens, or a relay stands."""
+
+    zone: str = ""
+    region: str = ""
+    address: str = ""
+
+
+@dataclass(frozen=True)
+class Watch:
+    source: int
+    since: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class Leave:
+    """End the watch, and what else was asked of its source."""
+
+    source: int
+
+
+@dataclass(frozen=True)
+class AskOutline:
+    source: int
+
+
+@dataclass(frozen=True)
+class AskBuckets:
+    source: int
+    version: int
+    numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class InForce:
+    """A version has come into force; these keys have changed since the one before."""
+
+    version: int
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Told:
+    source: int
+    applied: Applied
+
+
+@dataclass(frozen=True)
+class Note:
+    text: str
+    reason: str
+    remedy: str
+
+
+Act = Watch | Leave | AskOutline | AskBuckets | InForce | Told | Note
+
+
+@dataclass
+class _Known:
+    """One source, as this relay has met it."""
+
+    place: Place
+    lot: float
+    failures: int = 0
+    again: float = 0.0  # not before this
+    behind: float = 0.0  # of its last line, ms
+    head: int = 0
+    tried: float = -1e9  # when its last line came
+
+
+@dataclass
+class _Repair:
+    draft: Document
+    outline: Outline | None = None
+    missing: list[int] = field(default_factory=list)
+    asked: bool = False
+    since: float = 0.0  # when something was asked
+    pause: float = 0.0  # nothing before this
+    part: int = FIRST
+
+
+class Follower:
+    """`document`: what is in force; whoever holds it changes nothing. `rate`: bytes a second of a repair."""
+
+    def __init__(
+        self, number: int, place: Place, sources: Sequence[Place], document: Document, rate: float,
+        chance: Random, now: float,
+    ) -> None:  # fmt: skip
+        self.document, self.history, self.acts = document, "", list[Act]()
+        self.refused: list[str] = []  # keys that the relay could not take; the host writes them
+        self.refusals = 0
+        self.repairs = self.lines = 0
+        self._number, self._place, self._rate, self._chance = number, place, rate, chance
+        self._known = [_Known(source, chance.random()) for source in sources]
+        self._order = sorted(range(len(sources)), key=lambda n: (self._rank(n), self._known[n].lot))
+        self._current: int | None = None
+        self._heard, self._since, self._stay = now, now, 0.0
+        self._opened = False  # a line has come on this watch
+        self._repair: _Repair | None = None
+        self._untold, self._told_at = False, -1e9
+        self.tick(now)
+
+    # Events
+
+    def line(self, source: int, line: Line, now: float) -> None:
+        if source != self._current:
+            return
+        self._heard, known = now, self._known[source]
+        known.behind, known.head, known.tried, known.failures = line.behind_ms, line.head, now, 0
+        self.lines += 1
+        if self.history and line.history != self.history:
+            self._another_history(source, line, now)
+            return
+        self.history = line.history
+        if not self._opened:
+            self._opened = self._untold = True
+        try:
+            for change in line.changes if self._repair is None else ():
+                if change.version > self.document.version:
+                    self.document.apply(change)
+                    self._in_force([entry.key for entry in change.entries])
+        except Refused as fault:
+            # Guards against a version that would differ from everybody else's: buckets are compared.
+            self._note("a change of configuration was not taken", str(fault), "none: it is being repaired")
+            self._begin_repair(now)
+        # Guards against machines on which nothing was ever decided: what the relay's file said stays.
+        if line.repair and 0 < line.head >= self.document.version:
+            self._begin_repair(now)
+        self.tick(now)
+
+    def ended(self, source: int, reason: str, now: float) -> None:
+        """The watch has ended, or could not be had."""
+        if source == self._current:
+            self._failed(source, reason, now)
+            self.tick(now)
+
+    def outlined(self, source: int, outline: Outline, now: float) -> None:
+        if (repair := self._asked(source)) is None:
+            return
+        repair.asked = False
+        if outline.history != self.history or outline.version < self.document.version:
+            self._failed(source, f"an outline of version {outline.version}", now)
+        else:
+            try:
+                repair.missing, repair.outline = repair.draft.differing(outline), outline
+            except Refused as fault:
+                self._failed(source, str(fault), now)
+            self._pay(len(outline.buckets), now)
+        self.tick(now)
+
+    def bucketed(self, source: int, buckets: Buckets, size: int, now: float) -> None:
+        """`size`: bytes that came."""
+        repair = self._asked(source)
+        if repair is None or repair.outline is None:
+            return
+        repair.asked, sums = False, sums_of(repair.outline)
+        if buckets.version != repair.outline.version or not buckets.buckets:
+            self._failed(source, f"buckets of version {buckets.version}", now)
+            self.tick(now)
+            return
+        wanted = dict.fromkeys(repair.missing)
+        try:
+            for number, entries in buckets.buckets.items():
+                if number in wanted:
+                    repair.draft.replace(number, entries, sums[number])
+                    del wanted[number]
+        except Refused as fault:
+            self._failed(source, str(fault), now)
+        repair.missing = list(wanted)
+        repair.part = max(1, min(256, PART * len(buckets.buckets) // max(1, size)))
+        self._pay(size, now)
+        self.tick(now)
+
+    def gone(self, source: int, now: float) -> None:
+        """The snapshot that buckets were asked of is not kept any more, or the answer never came."""
+        if (repair := self._asked(source)) is not None:
+            repair.asked, repair.outline = False, None
+            repair.pause = now + self._chance.uniform(*AGAIN) / 5
+            self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """To be called at `due`, or sooner."""
+        current = self._current
+        if current is not None and now >= self._heard + (SILENCE if self._opened else OPENS):
+            self._failed(current, "silent", now)
+        elif current is not None and self._opened:
+            self._look_further(current, now)
+        if self._current is None:
+            self._choose(now)
+        if self._repair is not None and self._current is not None and self._opened:
+            self._go_on(self._current, self._repair, now)
+        self._tell(now)
+
+    @property
+    def due(self) -> float:
+        times = [self._told_at + (APPLIED if self._untold else SIGN)]
+        if self._current is None:
+            times += [known.again for known in self._known]
+            return min(times[1:], default=times[0])
+        times.append(self._heard + (SILENCE if self._opened else OPENS))
+        if self._repair is not None:
+            times.append(self._repair.since + ANSWER if self._repair.asked else self._repair.pause)
+        return min(times)
+
+    @property
+    def state(self) -> dict[str, object]:
+        known = self._known[self._current] if self._current is not None else None
+        return {
+            "version": self.document.version, "history": self.history, "entries": len(self.document.entries),
+            "source": known.place.address if known else None, "head": known.head if known else None,
+            "behind_ms": known.behind if known else None, "repairing": self._repair is not None,
+            "repairs": self.repairs, "refused": self.refusals,
+        }  # fmt: skip
+
+    # Sources
+
+    def _rank(self, source: int) -> int:
+        where = self._known[source].place
+        if where.zone == self._place.zone and where.region == self._place.region:
+            return 0
+        return 1 if where.region == self._place.region else 2
+
+    def _choose(self, now: float) -> None:
+        ready = [source for source in self._order if self._known[source].again <= now]
+        if not ready:
+            return
+        # One whose word was old lately comes after those of whom that is not known.
+        source = min(ready, key=lambda n: self._old(n, now))
+        self._follow(source, now)
+
+    def _old(self, source: int, now: float) -> bool:
+        known = self._known[source]
+        late = known.behind > STALE or known.head < self.document.version
+        return late and now < known.tried + SETTLED[0]
+
+    def _follow(self, source: int, now: float) -> None:
+        if self._current is not None:
+            self._leave(self._current)
+        self._current, self._opened, self._heard, self._since = source, False, now, now
+        self._stay = now + self._chance.uniform(*NEARER)
+        self.acts.append(Watch(source, self.document.version, self.document.digest))
+
+    def _look_further(self, current: int, now: float) -> None:
+        """Leaves a source whose word is old for one that may know more, and a far one for a nearer."""
+        known = self._known[current]
+        if known.behind > STALE or known.head < self.document.version:
+            others = [n for n in self._order if n != current and self._known[n].again <= now]
+            fresh = [n for n in others if not self._old(n, now)]
+            if fresh:
+                self._follow(fresh[0], now)
+            elif now >= self._since + SETTLED[0]:
+                best = max([current, *others], key=lambda n: (self._known[n].head, -self._known[n].behind))
+                if best != current:
+                    self._follow(best, now)
+                else:  # all are old: this one is stayed with, and the others asked again after a while
+                    self._since = now + self._chance.uniform(0, SETTLED[1] - SETTLED[0])
+        elif now >= self._stay:
+            self._stay = now + self._chance.uniform(*NEARER)
+            nearer = [n for n in self._order if self._rank(n) < self._rank(current)]
+            ready = [n for n in nearer if self._known[n].again <= now and not self._old(n, now)]
+            if ready:
+                self._follow(ready[0], now)
+
+    def _failed(self, source: int, reason: str, now: float) -> None:
+        known = self._known[source]
+        wait = min(AGAIN[1], AGAIN[0] * 2 ** min(known.failures, 10))
+        known.again, known.failures = now + wait * self._chance.uniform(0.5, 1.5), known.failures + 1
+        if known.failures == 1:
+            self._note(f"source of configuration lost: {known.place.address}", reason,
+                       "the last good configuration stays; look at that machine")  # fmt: skip
+        self._leave(source)
+        self._current = None
+
+    def _leave(self, source: int) -> None:
+        if self._repair is not None:
+            self._repair.asked, self._repair.outline = False, None  # the next source has its own snapshots
+        self.acts.append(Leave(source))
+
+    def _another_history(self, source: int, line: Line, now: float) -> None:
+        known = self._known[source]
+        self._note(
+            f"another history of configuration at {known.place.address}",
+            f"{line.history!r} to version {line.head}, {self.history!r} is followed",
+            "if the machines were set up anew on purpose, restart this relay; else restore their disks",
+        )
+        self._failed(source, "another history", now)
+        known.again = now + SETTLED[1]
+
+    # Repair
+
+    def _begin_repair(self, now: float) -> None:
+        if self._repair is None:
+            self._repair = _Repair(self.document.copy(), pause=now)
+            self.repairs += 1
+
+    def _asked(self, source: int) -> _Repair | None:
+        return self._repair if source == self._current and self._repair and self._repair.asked else None
+
+    def _pay(self, size: int, now: float) -> None:
+        if self._repair is not None:
+            self._repair.pause = now + size / self._rate
+
+    def _go_on(self, source: int, repair: _Repair, now: float) -> None:
+        if repair.asked and now >= repair.since + ANSWER:
+            repair.asked, repair.outline = False, None
+        if repair.asked or now < repair.pause:
+            return
+        if repair.outline is None:
+            repair.asked, repair.since = True, now
+            self.acts.append(AskOutline(source))
+        elif repair.missing:
+            repair.asked, repair.since = True, now
+            self.acts.append(AskBuckets(source, repair.outline.version, tuple(repair.missing[: repair.part])))
+        else:
+            self._settle(source, repair, repair.outline, now)
+
+    def _settle(self, source: int, repair: _Repair, outline: Outline, now: float) -> None:
+        self._repair = None
+        try:
+            repair.draft.settle(outline)
+        except Refused as fault:
+            self._failed(source, str(fault), now)
+            return
+        places, before = dict.fromkeys(self.document.differing(outline)), self.document
+        keys = [key for key in {**before.entries, **repair.draft.entries} if bucket_of(key) in places]
+        self.document = repair.draft
+        self._in_force([key for key in keys if before.get(key) != repair.draft.get(key)])
+        self._follow(source, now)  # from here on by changes
+
+    def _in_force(self, keys: Sequence[str]) -> None:
+        self.acts.append(InForce(self.document.version, tuple(keys)))
+        self._untold = True
+
+    def _tell(self, now: float) -> None:
+        wait = APPLIED if self._untold else SIGN
+        if self._current is not None and self._opened and now >= self._told_at + wait:
+            self._untold, self._told_at = False, now
+            word = Applied(
+                self._number, self.document.version, self.refused[:20], self.refusals, self._place.zone
+            )
+            self.acts.append(Told(self._current, word))
+
+    def _note(self, text: str, reason: str, remedy: str) -> None:
+        self.acts.append(Note(text, reason, remedy))
--- /dev/null
+++ b/lanelead/configuration/kinds.py
@@ -0,0 +1,100 @@
+"""What an entry's value must be, by the kind that its key names, and what is in force of a document.
+
+A value that is unfit is refused alone: of its key the last good value stays in force. A kind that this
+program does not know is kept in the document and not in force: relays of two versions follow one document.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from lanelead.configuration.document import Document
+
+MOST_NAMED = 100  # refused keys that are kept by name
+
+
+class Unfit(Exception):
+    """The text names the field, and what to do."""
+
+    def __init__(self, key: str, what: str) -> None:
+        super().__init__(f"{key[:80]}: {what}; publish the key anew with a value that fits")
+        self.key = key
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """Lookups a second that are the tenant's own, and its share of the fleet's."""
+
+    quota_per_s: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+
+
+class ClassFigures(msgspec.Struct, frozen=True):
+    """Of a class that the settings name: what may change while requests of it are under way."""
+
+    aim_ms: Annotated[float, Meta(gt=0, le=1e7)]
+    deadline_ms: Annotated[float, Meta(gt=0, le=1e7)]
+    credit: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    late_worth: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+
+
+Value = Tenant | ClassFigures
+KINDS: dict[str, type[Tenant] | type[ClassFigures]] = {"tenant": Tenant, "class": ClassFigures}
+
+
+def split(key: str) -> tuple[str, str]:
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def read(key: str, value: bytes) -> Value | None:
+    """None: a kind that is not known here. Raises Unfit."""
+    kind, _ = split(key)
+    if kind not in KINDS:
+        return None
+    try:
+        found: Value = msgspec.json.decode(value, type=KINDS[kind])
+    except (msgspec.MsgspecError, RecursionError) as fault:
+        raise Unfit(key, str(fault)[:200]) from None
+    if isinstance(found, ClassFigures) and found.deadline_ms < found.aim_ms:
+        raise Unfit(key, f"deadline_ms {found.deadline_ms:g} is under aim_ms {found.aim_ms:g}")
+    return found
+
+
+class InForce:
+    """The values in force, by key: the document's, but for keys whose newest value is unfit."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Value] = {}
+        self.refused: dict[str, str] = {}  # keys whose newest value is unfit, with why; bounded
+        self.refusals = 0
+        self.unknown: dict[str, int] = {}  # entries by kinds that are not known here
+
+    def take(self, document: Document, keys: Iterable[str]) -> tuple[list[str], list[Unfit]]:
+        """The keys that have changed in force, and what was refused."""
+        changed, faults = list[str](), list[Unfit]()
+        for key in keys:
+            value = document.get(key)
+            try:
+                found = read(key, value) if value is not None else None
+            except Unfit as fault:
+                faults.append(fault)
+                self.refusals += 1
+                if len(self.refused) < MOST_NAMED:
+                    self.refused[key] = str(fault)
+                continue
+            self.refused.pop(key, None)
+            if found is None and value is not None:
+                kind, _ = split(key)
+                if kind in self.unknown or len(self.unknown) < MOST_NAMED:
+                    self.unknown[kind] = self.unknown.get(kind, 0) + 1
+            elif found != self.values.get(key):
+                if found is None:
+                    del self.values[key]
+                else:
+                    self.values[key] = found
+                changed.append(key)
+        return changed, faults
--- a/lanelead/protocols/configuration.py
+++ b/lanelead/protocols/configuration.py
@@ -83,6 +83,7 @@
     version: Whole
     refused: Annotated[list[str], Meta(max_length=20)] = []
     refusals: Whole = 0  # since its start
+    zone: Annotated[str, Meta(max_length=64)] = ""
     form: int = FORM
 
 
