--- a/lanelead/configuration/document.py
+++ b/lanelead/configuration/document.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from lanelead.protocols.configuration import BUCKETS, VALUE, Change, Entry, Outline
+from lanelead.protocols.configuration import BUCKETS, CHANGE, VALUE, Change, Entry, Outline
 
 GONE = b"null"
 MODULUS = 1 << 64
@@ -94,6 +94,8 @@
         """The digest if these were set. Raises TooLarge."""
         wanted = _wanted(entries)
         self._bounded(wanted)
+        if (size := sum(len(key) + len(value) for key, value in wanted.items())) > CHANGE:
+            raise TooLarge(f"a change of {size} bytes, of {CHANGE} at most")
         sums = dict[int, int]()
         for key, value in wanted.items():
             place = bucket_of(key)
--- a/lanelead/configuration/follower.py
+++ b/lanelead/configuration/follower.py
@@ -18,11 +18,13 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from lanelead.configuration.acts import Act, AskBuckets, AskOutline, InForce, Leave, Note, Place, Told, Watch
 from lanelead.configuration.document import Document, Refused, bucket_of, sums_of
 from lanelead.protocols.configuration import Applied, Buckets, Line, Outline
 
 SILENCE = 1.2  # seconds without a line; a source writes one each 0.4 s
 OPENS = 0.7  # seconds until the first line, or two silent sources would be longer than a change may take
+PATIENCE = 10.0  # seconds until the first line at the most, where all are slow
 STALE = 1500.0  # milliseconds since a source heard a majority, after which a fresher one is looked for
 AGAIN = (0.1, 5.0)  # seconds until a source that failed is asked again: the first time, and at most
 SETTLED = (5.0, 10.0)  # seconds for which an old word is followed before others are tried again
@@ -34,65 +36,6 @@
 SIGN = 10.0  # and at the most
 
 
-@dataclass(frozen=True)
-class Place:
-    """Where a source listens, or a relay stands."""
-
-    zone: str = ""
-    region: str = ""
-    address: str = ""
-
-
-@dataclass(frozen=True)
-class Watch:
-    source: int
-    since: int
-    digest: str
-
-
-@dataclass(frozen=True)
-class Leave:
-    """End the watch, and what else was asked of its source."""
-
-    source: int
-
-
-@dataclass(frozen=True)
-class AskOutline:
-    source: int
-
-
-@dataclass(frozen=True)
-class AskBuckets:
-    source: int
-    version: int
-    numbers: tuple[int, ...]
-
-
-@dataclass(frozen=True)
-class InForce:
-    """A version has come into force; these keys have changed since the one before."""
-
-    version: int
-    keys: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class Told:
-    source: int
-    applied: Applied
-
-
-@dataclass(frozen=True)
-class Note:
-    text: str
-    reason: str
-    remedy: str
-
-
-Act = Watch | Leave | AskOutline | AskBuckets | InForce | Told | Note
-
-
 @dataclass
 class _Known:
     """One source, as this relay has met it."""
@@ -132,8 +75,10 @@
         self._known = [_Known(source, chance.random()) for source in sources]
         self._order = sorted(range(len(sources)), key=lambda n: (self._rank(n), self._known[n].lot))
         self._current: int | None = None
+        self._trial: tuple[int, float] | None = None  # one that may be better, and since when it is asked
         self._heard, self._since, self._stay = now, now, 0.0
         self._opened = False  # a line has come on this watch
+        self._patience, self._slow = OPENS, 0  # until the first line; watches in a row that gave none
         self._repair: _Repair | None = None
         self._untold, self._told_at = False, -1e9
         self.tick(now)
@@ -141,6 +86,11 @@
     # Events
 
     def line(self, source: int, line: Line, now: float) -> None:
+        if self._trial is not None and source == self._trial[0]:
+            began, self._trial = self._trial[1], None
+            if self._current is not None:
+                self._leave(self._current)
+            self._begin(source, began)
         if source != self._current:
             return
         self._heard, known = now, self._known[source]
@@ -152,6 +102,10 @@
         self.history = line.history
         if not self._opened:
             self._opened = self._untold = True
+            # Guards against links so slow that no watch would ever be opened in the usual time.
+            self._patience, self._slow = min(PATIENCE, max(OPENS, 2 * (now - self._since))), 0
+            if line.at is not None and self.document.version < line.at:
+                self.document.version = line.at  # what it holds is as it was then
         try:
             for change in line.changes if self._repair is None else ():
                 if change.version > self.document.version:
@@ -168,7 +122,9 @@
 
     def ended(self, source: int, reason: str, now: float) -> None:
         """The watch has ended, or could not be had."""
-        if source == self._current:
+        if self._trial is not None and source == self._trial[0]:
+            self._trial_over(reason, now)
+        elif source == self._current:
             self._failed(source, reason, now)
             self.tick(now)
 
@@ -219,9 +175,11 @@
     def tick(self, now: float) -> None:
         """To be called at `due`, or sooner."""
         current = self._current
-        if current is not None and now >= self._heard + (SILENCE if self._opened else OPENS):
+        if current is not None and now >= self._heard + (SILENCE if self._opened else self._patience):
             self._failed(current, "silent", now)
-        elif current is not None and self._opened:
+        elif self._trial is not None and now >= self._trial[1] + self._patience:
+            self._trial_over("silent", now)
+        elif current is not None and self._opened and self._trial is None:
             self._look_further(current, now)
         if self._current is None:
             self._choose(now)
@@ -235,7 +193,9 @@
         if self._current is None:
             times += [known.again for known in self._known]
             return min(times[1:], default=times[0])
-        times.append(self._heard + (SILENCE if self._opened else OPENS))
+        times.append(self._heard + (SILENCE if self._opened else self._patience))
+        if self._trial is not None:
+            times.append(self._trial[1] + self._patience)
         if self._repair is not None:
             times.append(self._repair.since + ANSWER if self._repair.asked else self._repair.pause)
         return min(times)
@@ -262,8 +222,8 @@
         ready = [source for source in self._order if self._known[source].again <= now]
         if not ready:
             return
-        # One whose word was old lately comes after those of whom that is not known.
-        source = min(ready, key=lambda n: self._old(n, now))
+        # One that failed, or whose word was old lately, comes after those of whom that is not known.
+        source = min(ready, key=lambda n: (self._old(n, now), self._known[n].failures))
         self._follow(source, now)
 
     def _old(self, source: int, now: float) -> bool:
@@ -274,10 +234,27 @@
     def _follow(self, source: int, now: float) -> None:
         if self._current is not None:
             self._leave(self._current)
+        self._begin(source, now)
+        self._watch(source)
+
+    def _begin(self, source: int, now: float) -> None:
         self._current, self._opened, self._heard, self._since = source, False, now, now
         self._stay = now + self._chance.uniform(*NEARER)
+
+    def _watch(self, source: int) -> None:
         self.acts.append(Watch(source, self.document.version, self.document.digest))
 
+    def _try(self, source: int, now: float) -> None:
+        """Asks one more, and leaves the present one once that has spoken."""
+        self._trial = source, now
+        self._watch(source)
+
+    def _trial_over(self, reason: str, now: float) -> None:
+        assert self._trial is not None
+        source, self._trial = self._trial[0], None
+        self._put_off(source, reason, now)
+        self.acts.append(Leave(source))
+
     def _look_further(self, current: int, now: float) -> None:
         """Leaves a source whose word is old for one that may know more, and a far one for a nearer."""
         known = self._known[current]
@@ -285,29 +262,40 @@
             others = [n for n in self._order if n != current and self._known[n].again <= now]
             fresh = [n for n in others if not self._old(n, now)]
             if fresh:
-                self._follow(fresh[0], now)
+                self._try(fresh[0], now)
             elif now >= self._since + SETTLED[0]:
                 best = max([current, *others], key=lambda n: (self._known[n].head, -self._known[n].behind))
                 if best != current:
-                    self._follow(best, now)
+                    self._try(best, now)
                 else:  # all are old: this one is stayed with, and the others asked again after a while
                     self._since = now + self._chance.uniform(0, SETTLED[1] - SETTLED[0])
         elif now >= self._stay:
             self._stay = now + self._chance.uniform(*NEARER)
             nearer = [n for n in self._order if self._rank(n) < self._rank(current)]
             ready = [n for n in nearer if self._known[n].again <= now and not self._old(n, now)]
-            if ready:
-                self._follow(ready[0], now)
+            ready.sort(key=lambda n: self._known[n].failures)
+            if ready and self._chance.random() < 1 / max(1, min(8, self._known[ready[0]].failures)):
+                self._try(ready[0], now)
 
     def _failed(self, source: int, reason: str, now: float) -> None:
+        if not self._opened:
+            self._slow += 1
+            if self._slow > 2:
+                self._patience = min(PATIENCE, 2 * self._patience)
+        self._put_off(source, reason, now)
+        self._leave(source)
+        self._current = None
+        if self._trial is not None:  # it is asked already: its word is waited for
+            self._begin(*self._trial)
+            self._trial = None
+
+    def _put_off(self, source: int, reason: str, now: float) -> None:
         known = self._known[source]
         wait = min(AGAIN[1], AGAIN[0] * 2 ** min(known.failures, 10))
         known.again, known.failures = now + wait * self._chance.uniform(0.5, 1.5), known.failures + 1
         if known.failures == 1:
             self._note(f"source of configuration lost: {known.place.address}", reason,
                        "the last good configuration stays; look at that machine")  # fmt: skip
-        self._leave(source)
-        self._current = None
 
     def _leave(self, source: int) -> None:
         if self._repair is not None:
--- a/lanelead/configuration/source.py
+++ b/lanelead/configuration/source.py
@@ -2,8 +2,7 @@
 
 Rules:
 1. Only decided changes are told, in order, to each follower from the version it names; nothing is left out.
-2. To a follower whose digest is not that of its version, or whose version is older than the changes kept, no
-   change is told: it has to repair.
+2. To a follower whose digest is of no version that is kept, no change is told: it has to repair.
 3. The buckets of one outline stay as they were for as long as the outline's snapshot is kept; afterwards the
    answer is that they are gone, never those of another version.
 
@@ -17,7 +16,7 @@
 from dataclasses import dataclass, field
 
 from lanelead.configuration.document import Document
-from lanelead.protocols.configuration import Applied, Buckets, Change, Line, Outline
+from lanelead.protocols.configuration import CHANGE, Applied, Buckets, Change, Line, Outline
 
 KEPT = 1000  # changes told one by one; a follower that lacks more compares buckets, which costs less
 AT_ONCE = 100  # changes of one line
@@ -63,11 +62,14 @@
         self._digests = {document.version: document.digest}
 
     def position(self, since: int, digest: str) -> int | None:
-        """From which version a follower is told changes; none: it has to repair."""
+        """The version that a follower stands at, from which it is told changes; none: it has to repair."""
         head = self.document.version
         if since > head:  # it knows more than this machine yet does: signs of life until that has changed
             return since
-        return since if since in self._digests and self._digests[since] == digest else None
+        if self._digests.get(since) == digest:
+            return since
+        # What a relay's file says is of no version; it is that of the digest, the newest if it is several's.
+        return next((at for at in sorted(self._digests, reverse=True) if self._digests[at] == digest), None)
 
     def line(self, position: int | None, now: float) -> tuple[Line, int | None]:
         """The next line for a follower that stands at this position, and where it stands after it."""
@@ -78,11 +80,20 @@
             if position + 1 < first:
                 position = None
             else:
-                start = position + 1 - first
-                some = [self._changes[at] for at in range(start, min(len(self._changes), start + AT_ONCE))]
+                some = self._some(position + 1 - first)
                 return Line(self.history, head, behind, some), some[-1].version
         return Line(self.history, head, behind, repair=position is None), position
 
+    def _some(self, start: int) -> list[Change]:
+        """Some changes from this place on: one, or as many as a line may hold."""
+        some, size = [self._changes[start]], 0
+        for at in range(start + 1, min(len(self._changes), start + AT_ONCE)):
+            size += sum(len(entry.key) + len(entry.value) for entry in some[-1].entries)
+            if size > CHANGE:
+                break
+            some.append(self._changes[at])
+        return some
+
     def outline(self, now: float) -> Outline:
         made, newest = self._frozen[-1] if self._frozen else (now - FROZEN, None)
         if newest is None or (newest.version != self.document.version and now >= made + FROZEN):
--- /dev/null
+++ b/lanelead/node/configuration.py
@@ -0,0 +1,181 @@
+"""A follower of the configuration on sockets: one watch at a source, and calls for buckets.
+
+What is followed, from whom, and what comes into force when, lanelead/configuration/follower.py decides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
+from random import Random
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from lanelead.configuration.acts import AskBuckets, AskOutline, InForce, Leave, Note, Place, Told, Watch
+from lanelead.configuration.document import Document, Refused
+from lanelead.configuration.follower import ANSWER, SILENCE, Follower
+from lanelead.configuration.kinds import InForce as Values
+from lanelead.http.calls import Failed, call, stream
+from lanelead.protocols.configuration import Buckets, Line, Outline
+from lanelead.protocols.platform import address
+from lanelead.protocols.records import Malformed, decode, encode
+from lanelead.settings.records import Address
+
+LONGEST = 4 << 20  # bytes of an answer
+
+
+class SourceAt(msgspec.Struct, frozen=True):
+    address: str
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64)] = ""
+
+
+class Following(msgspec.Struct, frozen=True):
+    """The section `configuration` of a relay's file; without it nothing is followed."""
+
+    sources: Annotated[list[SourceAt], Meta(min_length=1, max_length=64)]
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64)] = ""
+    catch_up_bytes_per_s: Annotated[float, Meta(ge=1024, le=1e9)] = 65536.0
+    most_entries: Annotated[int, Meta(ge=1, le=10_000_000)] = 200_000
+    most_bytes: Annotated[int, Meta(ge=1024, le=1 << 33)] = 64 << 20
+
+
+class Feed:
+    """`changed` is called with the keys whose values in force have changed; `values` holds all that are."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        number: int,
+        following: Following,
+        entries: Sequence[tuple[str, bytes]],
+        changed: Callable[[Sequence[str]], None],
+        chance: Random,
+        log: Any,
+    ) -> None:
+        self._loop, self._changed, self._log = loop, changed, log
+        self._sources = [Address(*address(source.address)) for source in following.sources]
+        places = [Place(source.zone, source.region, source.address) for source in following.sources]
+        document = Document(following.most_entries, following.most_bytes)
+        try:
+            document.load(entries)
+        except Refused as fault:
+            raise Malformed(f"configuration: {fault}") from None
+        self.values = Values()
+        self.values.take(document, list(document.entries))
+        here = Place(following.zone, following.region)
+        self.follower = Follower(
+            number, here, places, document, following.catch_up_bytes_per_s, chance, loop.time()
+        )
+        self._tasks: dict[asyncio.Task[None], int | None] = {}  # what runs, and of which source's watch
+        self._woken = asyncio.Event()
+
+    async def run(self) -> None:
+        """Until it is cancelled."""
+        try:
+            while True:
+                self._woken.clear()
+                self._carry()
+                wait = max(0.01, self.follower.due - self._loop.time())
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self._woken.wait(), min(wait, 60.0))
+                self.follower.tick(self._loop.time())
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+
+    def _carry(self) -> None:
+        while self.follower.acts:
+            acts, self.follower.acts = self.follower.acts, []
+            for act in acts:
+                match act:
+                    case Watch(source, since, digest):
+                        self._start(self._watch(source, since, digest), source)
+                    case Leave(source):
+                        self._leave(source)
+                    case AskOutline(source):
+                        self._start(self._outline(source), source)
+                    case AskBuckets(source, version, numbers):
+                        self._start(self._buckets(source, version, numbers), source)
+                    case Told(source, applied):
+                        self._start(self._tell(source, encode(applied)), None)
+                    case InForce(version, keys):
+                        self._take(version, keys)
+                    case Note(text, reason, remedy):
+                        self._log.warning(text, reason=reason, remedy=remedy)
+
+    def _take(self, version: int, keys: Sequence[str]) -> None:
+        changed, faults = self.values.take(self.follower.document, keys)
+        for fault in faults[:10]:
+            self._log.warning("an entry of the configuration was refused", version=version, reason=str(fault),
+                              remedy="its last good value stays in force")  # fmt: skip
+        self.follower.refused = list(self.values.refused)
+        self.follower.refusals = self.values.refusals
+        if changed:
+            self._changed(changed)
+
+    def _start(self, work: Coroutine[Any, Any, None], source: int | None) -> None:
+        task = self._loop.create_task(work)
+        self._tasks[task] = source
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(task, None)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            self._log.error("following the configuration failed", exc_info=fault)
+        self._woken.set()
+
+    def _leave(self, source: int) -> None:
+        for task, of in list(self._tasks.items()):
+            if of == source:
+                self._tasks[task] = None
+                task.cancel()
+
+    async def _watch(self, source: int, since: int, digest: str) -> None:
+        path = b"/configuration/watch?from=%d&digest=%s" % (since, digest.encode())
+        mine = asyncio.current_task()
+        reason = "the watch ended"
+        try:
+            async for text in stream(self._loop, self._sources[source], path, 2 * SILENCE):
+                self.follower.line(source, decode(text, Line, LONGEST), self._loop.time())
+                self._woken.set()
+        except (Failed, Malformed, TimeoutError) as fault:
+            reason = str(fault)
+        if mine is not None and self._tasks.get(mine) == source:  # not one that was left meanwhile
+            self.follower.ended(source, reason, self._loop.time())
+
+    async def _outline(self, source: int) -> None:
+        try:
+            answer = await self._ask(source, b"/configuration/outline")
+            outline = decode(answer, Outline, LONGEST)
+        except (Failed, Malformed, TimeoutError):
+            self.follower.gone(source, self._loop.time())
+        else:
+            self.follower.outlined(source, outline, self._loop.time())
+
+    async def _buckets(self, source: int, version: int, numbers: Sequence[int]) -> None:
+        named = ",".join(str(number) for number in numbers).encode()
+        try:
+            answer = await self._ask(
+                source, b"/configuration/buckets?version=%d&numbers=%s" % (version, named)
+            )
+            buckets = decode(answer, Buckets, LONGEST)
+        except (Failed, Malformed, TimeoutError):
+            self.follower.gone(source, self._loop.time())
+        else:
+            self.follower.bucketed(source, buckets, len(answer), self._loop.time())
+
+    async def _ask(self, source: int, path: bytes) -> bytes:
+        answer = await call(self._loop, self._sources[source], "GET", path, b"", ANSWER)
+        if answer.status != 200:
+            raise Failed(f"status {answer.status}")
+        return bytes(answer.body)
+
+    async def _tell(self, source: int, body: bytes) -> None:
+        """A word that is lost is said again within seconds."""
+        with suppress(Failed, TimeoutError):
+            await call(self._loop, self._sources[source], "POST", b"/configuration/applied", body, ANSWER)
--- a/lanelead/protocols/configuration.py
+++ b/lanelead/protocols/configuration.py
@@ -16,6 +16,7 @@
 FORM = 1  # of these records; a field that an earlier form lacks has a default here
 ENTRIES = 1000  # of one change, at most
 VALUE = 16384  # bytes of one value, as JSON
+CHANGE = 262144  # bytes of one change's keys and values
 BUCKETS = 4096  # of a document: entries go by a hash of their key, and each bucket has a digest
 Key = Annotated[str, Meta(min_length=3, max_length=200, pattern=r"^[a-z][a-z0-9_-]{0,31}/.+$")]
 Ident = Annotated[str, Meta(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
@@ -48,13 +49,14 @@
 
     `history`: which succession of versions this is (the ident of the first change); another one is not
     followed. `head`: the newest version that the source knows. `behind_ms`: how long ago it last heard from a
-    majority of the machines."""
+    majority of the machines. `at`: in the first line, the version whose digest the follower has named."""
 
     history: Ident
     head: Whole
     behind_ms: Positive
     changes: list[Change] = []
     repair: bool = False
+    at: Whole | None = None
     form: int = FORM
 
 
