--- a/lanelead/model/configuration.py
+++ b/lanelead/model/configuration.py
@@ -20,8 +20,8 @@
 from lanelead.configuration.document import Document
 from lanelead.configuration.follower import Follower
 from lanelead.configuration.source import SIGN, Gone, Source
-from lanelead.protocols.configuration import Change, Entry
-from lanelead.protocols.records import encode
+from lanelead.protocols.configuration import Change, Entry, Line
+from lanelead.protocols.records import decode, encode
 
 HEADS = 52  # bytes of TCP and IP heads of one packet, and as many for its acknowledgement
 PACKET = 1448
@@ -77,7 +77,7 @@
         for place in relays:
             self.join(place)
         for number in range(len(self.machines)):
-            self.at(self._chance.uniform(0, SIGN), lambda number=number: self._sign(number))  # type: ignore[misc]
+            self.at(self._chance.uniform(0, SIGN), partial(self._sign, number))
 
     # Time
 
@@ -124,7 +124,7 @@
         self.decided.append(change)
         for number in range(len(self.machines)):
             wait = 2 * self.delay(("m", at), ("m", number))
-            self.at(wait, lambda number=number: self._catch_up(number))  # type: ignore[misc]
+            self.at(wait, partial(self._catch_up, number))
         return change
 
     def _catch_up(self, number: int) -> None:
@@ -163,15 +163,15 @@
             text = encode(line)
             machine.spent_ns += thread_time_ns() - began
             machine.sent += (size := wire(len(text) + 8))
-            self._to_relay(number, relay, watch, lambda line=line: self._heard(relay, number, line), size)  # type: ignore[misc]
+            self._to_relay(number, relay, watch, partial(self._heard, relay, number, text), size)
             if after == position:
                 break
             position = after
             machine.watchers[relay] = watch, position
 
-    def _heard(self, number: int, source: int, line: object) -> None:
+    def _heard(self, number: int, source: int, text: bytes) -> None:
         relay = self.relays[number]
-        relay.follower.line(source, line, self.now)  # type: ignore[arg-type]
+        relay.follower.line(source, decode(text, Line, 4 << 20), self.now)
 
     def _to_relay(self, machine: int, relay: int, watch: int, what: Callable[[], None], size: int) -> None:
         """What a machine writes to a relay's watch, or answers to it: it comes late, or stalls for good."""
@@ -226,7 +226,7 @@
         machine.up = False
         watchers, machine.watchers = machine.watchers, {}
         for relay, (watch, _) in watchers.items():
-            self._to_relay(number, relay, watch, lambda r=relay: self._cut(r, number), HEADS)  # type: ignore[misc]
+            self._to_relay(number, relay, watch, partial(self._cut, relay, number), HEADS)
         if empty:
             machine.source = Source()
 
