--- a/lanelead/configuration/follower.py
+++ b/lanelead/configuration/follower.py
@@ -96,10 +96,10 @@
         self._heard, known = now, self._known[source]
         known.behind, known.head, known.tried, known.failures = line.behind_ms, line.head, now, 0
         self.lines += 1
-        if self.history and line.history != self.history:
+        if self.history and line.history and line.history != self.history:
             self._another_history(source, line, now)
             return
-        self.history = line.history
+        self.history = self.history or line.history
         if not self._opened:
             self._opened = self._untold = True
             # Guards against links so slow that no watch would ever be opened in the usual time.
--- a/lanelead/configuration/source.py
+++ b/lanelead/configuration/source.py
@@ -44,11 +44,14 @@
     _frozen: list[tuple[float, Document]] = field(default_factory=list)
     _told: dict[int, tuple[float, Applied]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self._digests = {self.document.version: self.document.digest}
+
     def decided(self, change: Change) -> None:
         """The next change; the document has it already."""
         if not self.history and change.version == 1:
             self.history = change.ident
-        if not self._changes or self._changes[-1].version != change.version - 1:
+        if change.version - 1 not in self._digests:  # a gap: what is before it is not kept
             self._changes.clear()
             self._digests.clear()
         self._changes.append(change)
--- a/lanelead/protocols/configuration.py
+++ b/lanelead/protocols/configuration.py
@@ -20,6 +20,7 @@
 BUCKETS = 4096  # of a document: entries go by a hash of their key, and each bucket has a digest
 Key = Annotated[str, Meta(min_length=3, max_length=200, pattern=r"^[a-z][a-z0-9_-]{0,31}/.+$")]
 Ident = Annotated[str, Meta(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+History = Annotated[str, Meta(max_length=64, pattern=r"^[A-Za-z0-9._-]*$")]  # empty: nothing is decided yet
 Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{32}$")]
 
 
@@ -51,7 +52,7 @@
     followed. `head`: the newest version that the source knows. `behind_ms`: how long ago it last heard from a
     majority of the machines. `at`: in the first line, the version whose digest the follower has named."""
 
-    history: Ident
+    history: History
     head: Whole
     behind_ms: Positive
     changes: list[Change] = []
@@ -63,7 +64,7 @@
 class Outline(msgspec.Struct, frozen=True):
     """The digests of a snapshot's buckets, hexadecimal, 16 digits each, one after another."""
 
-    history: Ident
+    history: History
     version: Whole
     digest: Digest
     buckets: Annotated[str, Meta(max_length=BUCKETS * 16)]
