A cold unit's budget turns its lot: small relays don't stand idle where all are cold

Checked: five tests of test_cold_fleet fail or time out on the code before; each of four guards taken out is found.

--- a/lanelead/decisions/guards.py
+++ b/lanelead/decisions/guards.py
@@ -7,7 +7,7 @@
     SECOND, Allowance, Condition, Duties, Fate, Lane, Lookup, News, Phase, Repeat, Scope, Ticks, Trial,
 )
 from lanelead.decisions.servers import Roster, Server, Traffic, warmth
-from lanelead.decisions.sums import Purse, Recent
+from lanelead.decisions.sums import Purse, Recent, turned
 
 NEVER_RAN = (Fate.TURNED_AWAY, Fate.UNREACHABLE, Fate.UNSENT)
 
@@ -115,10 +115,10 @@
         return group[lane.scope] and now < ran[0].sent + lane.memory - self._duties.tick
 
     def _cold_room(self, server: Server, now: Ticks) -> bool:
-        """One more to a cold unit? All keep to a multiple of their usual part; parts of a trip go by lot."""
-        sends, warm, duties = server.cold_sends, warmth(server, self._duties, now), self._duties
-        while sends and sends[0] <= now - duties.fall_time:
-            sends.popleft()
-        usual = max(self._traffic.done.read(now) / 4, self._quota / 2) / len(self._roster.ready)
-        budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND
-        return warm >= 1 or len(sends) + 1 <= budget + server.lot
+        """One more to a cold unit? All keep to a multiple of their usual part, parts of a trip by a lot that
+        turns: guards against small relays that draw none for good, and stand idle where all are cold."""
+        warm, duties, traffic = warmth(server, self._duties, now), self._duties, self._traffic
+        usual = max(traffic.done.read(now) / 4, (self._quota or traffic.taken.read(now) / 8) / 2)
+        budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND / len(self._roster.ready)
+        lot, guarded = turned(server.lot, now / max(1, duties.fall_time)), duties.fall_time > 0
+        return warm >= 1 or not guarded or server.sent(now, duties.fall_time) + 1 <= budget + lot
--- a/lanelead/decisions/servers.py
+++ b/lanelead/decisions/servers.py
@@ -20,10 +20,16 @@
         self.listed, self.aside = 0, 0  # when it was, and until when it is set aside
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
         self.done, self.cold_sends = Fading(done_span), deque[Ticks]()
-        self.lot = lot  # rounds its cold budget, up or down
+        self.lot = lot  # where the row of lots begins that round its cold budget, up or down
         self.mute = False  # the last trip there got no answer
         self.told, self.wait = -1, 0  # when it last answered a probe, and the wait that it told of
 
+    def sent(self, now: Ticks, span: Ticks) -> int:
+        """How many trips set out to it in the last span."""
+        while self.cold_sends and self.cold_sends[0] <= now - span:
+            self.cold_sends.popleft()
+        return len(self.cold_sends)
+
 
 def mine(unit: Unit) -> Server:
     assert isinstance(unit, Server)
--- a/lanelead/decisions/sums.py
+++ b/lanelead/decisions/sums.py
@@ -36,6 +36,13 @@
         self._sum = self.read(now) + amount
 
 
+def turned(lot: float, turns: float) -> float:
+    """A lot of 0 to 1 for each whole turn, from the one drawn first. Steps of the golden ratio give each part
+    of the range its share of any row of turns (Weyl 1916). Each lot's turns begin at a time of their own:
+    guards against all relays being lucky in the same moment."""
+    return (lot + int(turns + 997 * lot) * 0.6180339887) % 1
+
+
 class Recent:
     """When each key was last noted, and when before that; forgotten after a span."""
 
