Requests in pieces and large answers are not cut off; none stays unanswered after an error

Seen by forced crossings: (1) a client whose startup or first query came slowly, but steadily, was refused 2 s after it connected, in the middle of its bytes (front._overdue looked at 'began'); now after 2 s of silence, or 10 s in all. (2) half a request whose rest had not come when the relay ended was closed without a word; now refused, 57P03. (3) one that asked for large values, pipelined, and read slowly was cut off above 256 KiB unread, and where its socket was full already the bound did not hold at all (only _write looked at it); now its next commands wait in the kernel until half of that is read. (4) one that reads slowly counted as one that does not read: only new answers, not bytes taken, moved its clock.

--- a/lanelead/node/client.py
+++ b/lanelead/node/client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -23,7 +24,7 @@
 
 BUFFER = 32768  # bytes read at once
 PIPELINED = 8  # commands of one connection that wait for answers, at most
-MOST_OWED = 1 << 18  # bytes of answers that a client leaves unread, at most
+MOST_OWED = 1 << 18  # bytes of answers that a client leaves unread: with more, no command of its is read
 MOST_DISCARDED = 1 << 22  # bytes read from a client behind what can't be read, at most
 LINGER = 0.25  # seconds for a client to read the last that it was sent
 REFUSED, LEAVING = "53300", "57P03"  # both are refusals: trying again is harmless
@@ -51,10 +52,10 @@
 class Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("text", "ticket")
+    __slots__ = ("due", "text", "ticket")
 
-    def __init__(self, ticket: Ticket | None, text: bytes | None) -> None:
-        self.ticket, self.text = ticket, text
+    def __init__(self, ticket: Ticket | None, text: bytes | None, due: float = math.inf) -> None:
+        self.ticket, self.text, self.due = ticket, text, due  # when it is owed, on the loop's clock
 
 
 class Client:
@@ -62,8 +63,8 @@
     sent can't be read (`judged`), or because the relay stops (`leaving`)."""
 
     __slots__ = (
-        "asked", "began", "closing", "discarded", "front", "judged", "leaving", "moved", "owed", "reader",
-        "reading", "shut", "slots", "sock", "writing",
+        "asked", "began", "closing", "discarded", "front", "judged", "leaving", "moved", "owed", "paused",
+        "reader", "reading", "shut", "slots", "sock", "writing",
     )  # fmt: skip
 
     def __init__(self, front: House, sock: socket.socket) -> None:
@@ -79,6 +80,7 @@
         self.began = self.moved = front.loop.time()
         self.writing = False
         self.reading = True
+        self.paused = False  # not read for now: too much is owed
         front.loop.add_reader(sock, self._read)
 
     @property
@@ -168,11 +170,11 @@
             self._say(front.refusal(Outcome.SHED, 0))
             return
         ticket = Ticket(statement.ident, statement, self._replied)
-        self.slots.append(Slot(ticket, None))
         front.open[statement.ident] = None
         left = min(int(statement.left_ms * 10), lane.outer_limit) - front.early
         if front.end is not None:
             left = min(left, int((front.end - front.loop.time()) * 10_000))
+        self.slots.append(Slot(ticket, None, front.loop.time() + left / 10_000))
         member = front.members.get(statement.member) if statement.member else None
         front.driver.take(ticket, lane, member, statement.key, left, statement.again, statement.write)
 
@@ -217,6 +219,7 @@
             self.owed += b"".join(ready)
             if not self.writing:
                 self._write()
+            self._heed()
         if self.closing and self.quiet:
             self._last()
 
@@ -229,6 +232,8 @@
             self.owed.clear()
             self.front.loop.call_soon(self.gone)
             return
+        if size:  # guards against cutting off one that reads slowly, but reads
+            self.moved = self.front.loop.time()
         del self.owed[:size]
         if self.owed and not self.writing:
             self.writing = True
@@ -236,11 +241,24 @@
         elif not self.owed and self.writing:
             self.writing = False
             self.front.loop.remove_writer(self.sock)
-        if len(self.owed) > MOST_OWED:  # it asks, and does not read
-            self.front.loop.call_soon(self.gone)
+
+    def _heed(self) -> None:
+        """Guards against answers without bound for one that asks and does not read, and against breaking
+        off the answers of one that reads: its next commands wait in the kernel. Whoever takes nothing for
+        long is ended by the sweep."""
+        if self.sock.fileno() < 0:
+            return
+        if not self.paused and len(self.owed) > MOST_OWED:
+            self.paused = True
+            self.front.loop.remove_reader(self.sock)
+        elif self.paused and 2 * len(self.owed) <= MOST_OWED:
+            self.paused = False
+            if self.reading:
+                self.front.loop.add_reader(self.sock, self._read)
 
     def _more(self) -> None:
         self._write()
+        self._heed()
         if self.closing and self.quiet:
             self._last()
 
@@ -277,9 +295,10 @@
         self.flush()
 
     def refuse(self, code: str, text: str) -> None:
-        """Ends a connection that has not asked, with a refusal that tells its client to go elsewhere. It is
-        the answer to whatever crosses it, which is dropped: a request that is refused must never run."""
-        if self.closing or self.sock.fileno() < 0:
+        """Ends a connection whose next request has not come whole, with a refusal that tells its client to
+        go elsewhere. It is the answer to whatever crosses it, which is dropped: a request that is refused
+        must never run."""
+        if self.judged is not None or self.shut or self.sock.fileno() < 0:
             return
         self.front.refused += 1
         self.closing, self.judged = True, self.front.loop.time()
@@ -292,14 +311,21 @@
             self.sock.send(messages.error(REFUSED, text, fatal=True))
         self.close()
 
-    def break_off(self) -> None:
-        """What was taken has had its moment: it may have run, and gets its final answer now."""
-        for slot in list(self.slots):
-            if slot.ticket is not None and slot.text is None:
-                self.front.open.pop(slot.ticket.ident, None)
-                slot.text = self.front.refusal(Outcome.BROKEN_OFF, 0)
-                self.front.driver.left(slot.ticket)
+    def break_off(self, by: float = math.inf) -> int:
+        """What was taken, and was owed by then, has had its moment: it may have run, and gets its final
+        answer now. How many there were."""
+        late = [
+            (slot, slot.ticket)
+            for slot in self.slots
+            if slot.ticket is not None and slot.text is None and slot.due <= by
+        ]
+        for slot, ticket in late:
+            self.front.open.pop(ticket.ident, None)
+            slot.text = self.front.refusal(Outcome.BROKEN_OFF, 0)
         self.flush()
+        for _, ticket in late:  # by the loop: what fails there must not keep others from their answers
+            self.front.loop.call_soon(self.front.driver.left, ticket)
+        return len(late)
 
     def gone(self) -> None:
         """The client is not there any more: no answer is owed."""
--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -24,6 +24,7 @@
 SILENCE = 2.0  # seconds for a client to ask for something, or to end what it began
 IDLE = 10.0  # seconds after which a connection that asks nothing more is closed
 MOMENT = 1.0  # seconds for what was taken before something that can't be read
+LATE = 0.2  # seconds after its time for a request's answer, before it is broken off
 YOUNG = 0.1  # seconds for a client to begin, before its place may go to another
 ACCEPTED = 64  # connections taken at once
 TURNED = 8  # connections that were turned off and may still read why; of the descriptors kept to spare
@@ -49,7 +50,7 @@
         self.clients: dict[Client, None] = {}
         self.open: dict[str, None] = {}  # ids of lookups without an answer yet
         self.after: Callable[[], None] = lambda: None
-        self.unreadable = self.condemned = self.turned_off = self.evicted = self.refused = 0
+        self.unreadable = self.condemned = self.turned_off = self.evicted = self.refused = self.overdue = 0
         self._sock: socket.socket | None = None
         self.end: float | None = None
         self._turned: deque[socket.socket] = deque()
@@ -155,6 +156,10 @@
         stood still finds all of its clients silent for long."""
         now = self.loop.time()
         for client in list(self.clients):
+            # Guards against a request that an error within the relay left without its answer.
+            if late := client.break_off(now - LATE):
+                self.overdue += late
+                self._log.error("requests without an answer in time", broken_off=late)
             if client.closing:
                 if client.judged is not None and client.judged < now - MOMENT:
                     client.break_off()
@@ -175,7 +180,8 @@
         """How to end a connection that has said nothing for too long; None where it has not."""
         if client.reader.inside and client.moved < now - SILENCE:
             return lambda: client.condemn("08P01", "the rest of a message never came")
-        if not client.asked and client.began < now - SILENCE:
+        # One whose bytes keep coming is about to ask: it is cut off in the middle of that much later.
+        if not client.asked and (client.moved < now - SILENCE or client.began < now - IDLE):
             return lambda: client.refuse(LEAVING, "nothing was asked in time")
         return client.close if client.moved < now - IDLE else None
 
@@ -207,6 +213,8 @@
             await asyncio.sleep(0.02)
         for client in list(self.clients):
             client.break_off()
+            if client.reader.inside:  # its rest did not come in time
+                client.refuse(LEAVING, "this relay stops: nothing ran")
         self.after()
         end = self.loop.time() + 1.2 * LINGER
         while self.clients and self.loop.time() < end:
