interface.py in two: what is read at start stands in figures.py

Change: the records and enums that a relay reads at its start moved unchanged to decisions/figures.py; interface.py has all names as before, so that no import elsewhere changes.

--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -11,23 +11,24 @@
 from enum import Enum
 from typing import Protocol
 
-Ticks = int
-SECOND: Ticks = 10_000
-LOADS = 83  # loads that one message between relays holds at the most
-
-
-class Repeat(Enum):
-    PURE = "pure"
-    RECEIPTED = "receipted"
-    EFFECTFUL = "effectful"
-
+from lanelead.decisions.figures import (
+    SECOND as SECOND,
+    Allowance as Allowance,
+    Control as Control,
+    Duties as Duties,
+    Lane as Lane,
+    Member as Member,
+    Place as Place,
+    Poll as Poll,
+    Preference as Preference,
+    Repeat as Repeat,
+    Scope as Scope,
+    Tariff as Tariff,
+    Ticks as Ticks,
+    Trial as Trial,
+)
 
-class Scope(Enum):
-    """The units that drop a repeat of a receipted lookup."""
-
-    ALL = "all"
-    ZONE = "zone"
-    CELL = "cell"
+LOADS = 83  # loads that one message between relays holds at the most
 
 
 class Fate(Enum):
@@ -56,14 +57,6 @@
     WITHDRAWN = 3
 
 
-class Control(Enum):
-    """Who moves a stage on: one vote, a number of votes, or a clock."""
-
-    FIRST_VOICE = "first voice"
-    BY_COUNT = "by count"
-    AUTOMATIC = "automatic"
-
-
 class Verdict(Enum):
     NONE = 0
     ON = 1
@@ -80,132 +73,6 @@
     FAILED = "failed"
 
 
-# What is read at start
-
-
-@dataclass(frozen=True, eq=False)
-class Lane:
-    name: str
-    expected_time: Ticks
-    outer_limit: Ticks
-    value: float
-    late_value: float
-    repeat: Repeat
-    scope: Scope
-    memory: Ticks
-    streaming: bool
-    stretch: float
-
-    @property
-    def worth(self) -> float:
-        """Of an answer in time, for the time it may take."""
-        return self.value / self.expected_time
-
-
-@dataclass(frozen=True, eq=False)
-class Member:
-    name: str
-    quota: float
-    share: float
-
-
-@dataclass(frozen=True)
-class Place:
-    """Where this relay stands among the others."""
-
-    number: int
-    relays: int
-    zone: str
-
-
-@dataclass(frozen=True)
-class Allowance:
-    """What the deployment lets a relay do."""
-
-    trips: int
-    open_lookups: int
-    streams: int
-    calling_off: bool
-    probes: bool
-    peers: bool
-    second_copies: bool
-    retry_advice: bool
-    longest_advice: Ticks
-    connect_limit: Ticks
-    idle_limit: Ticks = 0  # an idle connection ends after this; 0 where that is not told
-
-
-@dataclass(frozen=True)
-class Duties:
-    """The figures of the five rules that are not the rollout's."""
-
-    answer_slack: Ticks
-    drain_grace: Ticks
-    cold_share: float
-    cold_time: Ticks
-    fall_multiple: float
-    fall_time: Ticks
-    subscribe: bool
-    ask_within: Ticks
-    tick: Ticks
-
-
-@dataclass(frozen=True)
-class Trial:
-    """How much may go to a build on trial."""
-
-    shares: tuple[float, ...]
-    caps: tuple[float, ...]
-    free: float
-    window: Ticks
-    by_lane: bool
-    guarded: int
-    keys_stay: bool
-    in_place: bool  # each earlier machine drains once its successor runs
-
-
-@dataclass(frozen=True)
-class Poll:
-    """How votes decide."""
-
-    control: Control
-    on_votes: int
-    back_votes: int
-    hold_votes: int
-    least_stage: Ticks
-    timer_stage: Ticks
-    answer_limit: Ticks
-    vote_life: Ticks
-    votes_a_second: float
-    delay_price: float
-    harm_price: float
-    complaint_share: float
-
-
-@dataclass(frozen=True)
-class Tariff:
-    """Points of the result that each habit costs."""
-
-    probe: float
-    peer: float
-    waste: float
-    late_fail: float
-    zone_crossing: float
-    handshake: float
-    connection: float
-    over_share: float  # what a lookup beyond its member's share is worth, as a part of the usual
-
-
-@dataclass(frozen=True)
-class Preference:
-    """Which zones' units a relay prefers, tier after tier, and how traffic may spill. None: all are one."""
-
-    tiers: tuple[tuple[str, ...], ...] = ()
-    most: float = 0.9  # of what a tier's units would do for this relay, the part that its strangers may have
-    grow: float = 1.0  # times the longest expected time, for spill to grow from none to all
-    shrink: float = 2.0  # times the warm-up, for it to shrink from all to none
-
-
 # What passes through
 
 
