Units that share a mark are told of by wide marks, never as one

Cause: a mark is 16 bits of a CRC-32 and the last unit met had it alone: letters of two such units booked loads on the later one, dropped sightings of another build, told two rows of one mark, and 'forget' of one made both unknown. Change: hosting/marks.py keeps who shares a mark. Such units' loads go by all 32 bits in rows of the same letter that earlier programs pass over (class 255), their sightings in letters of form 3; a short mark that several have is understood by nobody; two that share 32 bits are not told of. A full letter says what units left out have at the most (Least), also where rows of it were passed over. What is passed over is counted (passed_over in the state).

--- a/lanelead/benchlink/host.py
+++ b/lanelead/benchlink/host.py
@@ -13,6 +13,7 @@
     BreakOff,
     CallOff,
     Close,
+    Condition,
     Coverage,
     Decisions,
     Fetch,
@@ -28,6 +29,7 @@
     Tell,
     Ticks,
     Trip,
+    Unit,
     Vote,
     Wake,
     Watch,
@@ -61,6 +63,8 @@
         self.members = {member.name: member for member in members}
         self.gauges = opening.words("loadReport.names")
         self.door = Door(self.relay.meet)
+        self.gone: dict[Unit, Ticks] = {}  # units that share a mark and are gone, and when it is freed
+        self.memory = 2 * max((lane.outer_limit for lane in lanes), default=0)
         self.lookups: dict[str, Lookup] = {}
         self.lookup_ids: dict[Lookup, str] = {}
         self.wakes: dict[int, Lookup | None] = {}
@@ -105,6 +109,16 @@
                 )
             )
         self.relay.roster(coverage, listings)
+        self.free_marks()
+
+    def free_marks(self) -> None:
+        """Guards against units long gone that keep others' marks from being understood."""
+        for unit in self.door.marks.sharing():
+            if unit.condition is not Condition.GONE:
+                self.gone.pop(unit, None)
+            elif self.gone.setdefault(unit, self.relay.now + self.memory) <= self.relay.now:
+                del self.gone[unit]
+                self.door.retire(unit)
 
     def ask(self, words: Words) -> None:
         _, msg, lane, member, key, left, hint, again, write = words
--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -79,10 +79,11 @@
 class Unit:
     """One server, as the roster last told of it."""
 
-    __slots__ = ("build", "cell", "condition", "kind", "mark", "since", "size", "zone")
+    __slots__ = ("build", "cell", "condition", "kind", "mark", "since", "size", "wide", "zone")
 
     def __init__(self, mark: int) -> None:
         self.mark = mark  # the same number at every relay, for messages between relays
+        self.wide = 0  # the host's: what to call it where other units have the same mark; 0: none has
         self.zone = ""
         self.cell = 0
         self.kind = ""
@@ -175,6 +176,13 @@
     trips: int
 
 
+@dataclass(slots=True, frozen=True)
+class Least:
+    """Of loads that are told, some were left out or not understood: no other unit has more trips out."""
+
+    trips: int
+
+
 @dataclass(slots=True, frozen=True)
 class Pace:
     """How long trips take of late over the whole fleet: those out over those answered (Little's law)."""
@@ -189,7 +197,8 @@
     many: int
 
 
-Word = Sighting | Load | Pace | Answered  # what relays tell each other
+Out = Load | Least  # what is out, whole: what a relay heard before from the same sender holds no more
+Word = Sighting | Out | Pace | Answered  # what relays tell each other
 
 
 # Acts
--- a/lanelead/decisions/rules.py
+++ b/lanelead/decisions/rules.py
@@ -6,8 +6,8 @@
 from lanelead.decisions.choosing import Choice
 from lanelead.decisions.guards import NEVER_RAN, Exposure, Guards
 from lanelead.decisions.interface import (
-    SECOND, Act, Allowance, BreakOff, CallOff, Close, Coverage, Duties, Fate, Fetch, Lane, Listing, Load,
-    Lookup, Member, News, Phase, Place, Poll, Preference, Probe, Report, Send, Shed, Sighting, Tally,
+    SECOND, Act, Allowance, BreakOff, CallOff, Close, Coverage, Duties, Fate, Fetch, Lane, Listing,
+    Lookup, Member, News, Out, Phase, Place, Poll, Preference, Probe, Report, Send, Shed, Sighting, Tally,
     Tariff, Ticks, Trial, Trip, Unit, Wake, Watch, Word,
 )
 from lanelead.decisions.journeys import Journey, Journeys
@@ -102,7 +102,7 @@
             self._journeys.go_on(lookup)
 
     def heard(self, peer: int, words: Sequence[Word]) -> None:
-        if loads := [word for word in words if isinstance(word, Load)]:
+        if loads := [word for word in words if isinstance(word, Out)]:
             self._out.hear(peer if self._circle.hub else None, loads, self.now)
         for word in words:
             self._pacing.hear(peer, word, self.now)
--- a/lanelead/decisions/servers.py
+++ b/lanelead/decisions/servers.py
@@ -7,8 +7,8 @@
 from random import Random
 
 from lanelead.decisions.interface import (
-    LOADS, Answered, Condition, Coverage, Duties, Lane, Listing, Load, Pace, Sighting, Ticks, Trip, Unit,
-    Word,
+    LOADS, Answered, Condition, Coverage, Duties, Lane, Least, Listing, Load, Out, Pace, Sighting, Ticks,
+    Trip, Unit, Word,
 )
 from lanelead.decisions.sums import Fading
 
@@ -141,15 +141,17 @@
         self._said = busy
         return loads
 
-    def hear(self, peer: int | None, loads: list[Load], now: Ticks) -> None:
+    def hear(self, peer: int | None, said: Sequence[Out], now: Ticks) -> None:
         """All that a peer has out itself; none: all that all have out, this relay's trips among them."""
+        loads = [word for word in said if isinstance(word, Load)]
         if peer is not None:
             self._told[peer] = now, loads
         else:
             self._at, rows = now, ((mine(load.unit), load.trips) for load in loads)
             self._others = {server: trips - len(server.out) for server, trips in rows}
             # A full letter left out units with no more than the least it tells of; they are not idle.
-            self._rest = loads[-1].trips if len(loads) >= LOADS else 0
+            full = loads[-1].trips if len(loads) >= LOADS else 0
+            self._rest = next((word.trips for word in said if isinstance(word, Least)), full)
 
     def add(self, own: Iterable[Load], now: Ticks) -> list[Load]:
         """Adds up what the peers told, and gives what all relays have out with this one's own, most first."""
--- a/lanelead/hosting/door.py
+++ b/lanelead/hosting/door.py
@@ -5,19 +5,42 @@
 
 from __future__ import annotations
 
-import zlib
-from collections.abc import Callable, Mapping, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from struct import Struct
+from typing import Any
 
-from lanelead.decisions.interface import LOADS, Answered, Condition, Lane, Load, Pace, Sighting, Unit, Word
+from lanelead.decisions.interface import (
+    LOADS,
+    Answered,
+    Condition,
+    Lane,
+    Least,
+    Load,
+    Pace,
+    Sighting,
+    Unit,
+    Word,
+)
+from lanelead.hosting.marks import NAMELESS, SHORT, Marks, crc
 
 KINDS = 5  # kinds of fault in a sighting
 ROW = Struct(f">HHB{1 + KINDS}B")  # a sighting: unit mark, build, lane, outcomes, faults of each kind
 LOAD = Struct(">HB")  # a load: unit mark, trips out
+SHARED = (
+    255  # in the lane's place of a row: it is no sighting but two loads, which earlier programs pass over
+)
+LOADS_SHARED = Struct(
+    ">IBBIB"
+)  # wide mark, trips out, SHARED in the place that ROW has for the lane, the same
+SEEN_SHARED = Struct(f">IHB{1 + KINDS}B")  # a sighting by its unit's wide mark, in messages of their own form
 MESSAGE = 256  # the most bytes of one message between relays
 FORM, COUNT = 2, 5  # the messages' form, above the bits that count sightings: relays of two versions meet
+FORM_SHARED = 3  # of messages with sightings of units that share their mark
 HEAD, STEP = 3, 200  # bytes before the rows: form and count, the pace in steps of so many ticks, answers
+ROOM = MESSAGE - 2 - HEAD  # two bytes are the checksum's
 UNTOLD = 255  # in place of pace or answers
+Seen = tuple[Any, ...]  # a unit, or none that is understood, then build, lane, outcomes and faults
 
 
 class Door:
@@ -27,72 +50,148 @@
         self._meet = meet
         self.units: dict[str, Unit] = {}
         self.names: dict[Unit, str] = {}
-        self.marks: dict[int, Unit] = {}
+        self.marks = Marks()
+        self._retired: dict[Unit, None] = {}
 
     def unit(self, name: str) -> Unit:
-        if name not in self.units:
-            unit = self._meet(zlib.crc32(name.encode()) & 0xFFFF)
-            self.units[name] = self.marks[unit.mark] = unit
+        unit = self.units.get(name)
+        if unit is None:
+            wide = crc(name)
+            self.units[name] = unit = self._meet(wide & SHORT)
             self.names[unit] = name
-        return self.units[name]
+            self.marks.add(wide, unit)
+        elif unit in self._retired:
+            del self._retired[unit]
+            self.marks.add(crc(name), unit)
+        return unit
 
     def forget(self, unit: Unit) -> None:
         """For a unit that is gone: one that comes back by this name is met anew."""
         name = self.names.pop(unit, None)
         if name is not None:
             del self.units[name]
-        if self.marks.get(unit.mark) is unit:
-            del self.marks[unit.mark]
+            self._retired.pop(unit, None)
+            self.marks.drop(unit)
+
+    def retire(self, unit: Unit) -> None:
+        """For a unit gone for so long that no relay tells of it: its mark is free, its name stays its own."""
+        self._retired[unit] = None
+        self.marks.drop(unit)
 
 
 def pack(words: Sequence[Word], lanes: Sequence[Lane]) -> list[bytes]:
-    """Sightings and loads as messages of the allowed length: their form and the number of sightings in one
-    byte, pace and answers in the next two, then the sightings' rows, then loads. The loads go whole into one
-    message, since they say what is out and that there is no more: of more than fit, those that come first."""
-    rows = [
-        ROW.pack(
-            word.unit.mark,
-            word.build,
-            lanes.index(word.lane),
-            min(word.outcomes, 255),
-            *(min(many, 255) for many in word.faults),
-        )
-        for word in words
-        if isinstance(word, Sighting)
-    ]
-    loads = [LOAD.pack(word.unit.mark, min(word.trips, 255)) for word in words if isinstance(word, Load)]
+    """Sightings and loads as messages of the allowed length: their form and the number of rows in one byte,
+    pace and answers in the next two, then the rows, then loads. The loads go whole into one message, since
+    they say what is out and that there is no more: of more than fit, those that come first. Units that share
+    their mark with another are told of by their wide marks, their loads in rows of the same message, their
+    sightings in messages of another form; where there are none, no byte is spent on this."""
+    rows, wide_rows = list[bytes](), list[bytes]()
+    for word in words:
+        if isinstance(word, Sighting) and word.unit.wide != NAMELESS:
+            many = (min(number, 255) for number in (word.outcomes, *word.faults))
+            at = word.build, lanes.index(word.lane)
+            if word.unit.wide:
+                wide_rows.append(SEEN_SHARED.pack(word.unit.wide, *at, *many))
+            else:
+                rows.append(ROW.pack(word.unit.mark, *at, *many))
+    loads = [word for word in words if isinstance(word, Load) and word.unit.wide != NAMELESS]
+    shared, plain = _fitting(loads)
     paces = [min(UNTOLD - 1, word.took // STEP) for word in words if isinstance(word, Pace)]
     answers = [min(UNTOLD - 1, word.many) for word in words if isinstance(word, Answered)]
     pace = bytes([*(paces[:1] or [UNTOLD]), *(answers[:1] or [UNTOLD])])
-    step = (MESSAGE - 2 - HEAD) // ROW.size
-    texts = [rows[place : place + step] for place in range(0, len(rows), step)]
-    parts = [bytes([FORM << COUNT | len(some)]) + pace + b"".join(some) for some in texts]
+    step = ROOM // ROW.size
+    parts, tail = [rows[place : place + step] for place in range(0, len(rows), step)], b""
     if loads or (paces and not parts):
-        tail = b"".join(loads[:LOADS])
-        if parts and len(parts[-1]) + len(tail) <= MESSAGE - 2:
-            parts[-1] += tail
+        tail = b"".join(plain)
+        if parts and ROW.size * (len(parts[-1]) + len(shared)) + len(tail) <= ROOM:
+            parts[-1] += shared
         else:
-            parts.append(bytes([FORM << COUNT]) + pace + tail)
-    return parts
+            parts.append(shared)
+    texts = [bytes([FORM << COUNT | len(some)]) + pace + b"".join(some) for some in parts]
+    if tail:
+        texts[-1] += tail
+    step = (MESSAGE - 2 - 1) // SEEN_SHARED.size
+    wide_parts = [wide_rows[place : place + step] for place in range(0, len(wide_rows), step)]
+    return texts + [bytes([FORM_SHARED << COUNT | len(some)]) + b"".join(some) for some in wide_parts]
+
+
+def _fitting(loads: Sequence[Load]) -> tuple[list[bytes], list[bytes]]:
+    """As many of the first loads as fit: rows for units that share their mark, and what follows the rows.
+    Where some of those were told and others left out, a place in a row says under no mark what the others
+    have at the most."""
+    told = loads[:LOADS]
+    if shared := sum(load.unit.wide != 0 for load in told):
+        whole = len(loads) == len(told) and _size(shared, len(told) - shared) <= ROOM
+        told = loads if whole else _first(told)
+    pairs = [(load.unit.wide, min(load.trips, 255)) for load in told if load.unit.wide]
+    pairs += [(0, min(loads[len(told)].trips, 255))] if shared and len(told) < len(loads) else []
+    pairs += [(0, 0)] * (len(pairs) % 2)
+    twos = zip(pairs[::2], pairs[1::2], strict=True)
+    rows = [LOADS_SHARED.pack(wide, SHARED, trips, *second) for (wide, trips), second in twos]
+    return rows, [LOAD.pack(load.unit.mark, min(load.trips, 255)) for load in told if not load.unit.wide]
+
+
+def _first(loads: Sequence[Load]) -> Sequence[Load]:
+    """As many as leave a place for what the rest has."""
+    shared = 0
+    for many, load in enumerate(loads):
+        shared += load.unit.wide != 0
+        if _size(shared + 1, many + 1 - shared) > ROOM:
+            return loads[:many]
+    return loads
+
+
+def _size(shared: int, plain: int) -> int:
+    return ROW.size * ((shared + 1) // 2) + LOAD.size * plain
 
 
-def unpack(text: bytes, units: Mapping[int, Unit], lanes: Sequence[Lane]) -> list[Word]:
-    """What a message says; rows of units, builds or lanes unknown to this relay are passed over, and so is a
-    message of another form: read as this one, it would say what nobody saw."""
+def unpack(text: bytes, units: Marks, lanes: Sequence[Lane]) -> list[Word]:
+    """What a message says; rows of units, builds or lanes unknown to this relay are passed over and counted,
+    and so is a message of another form: read as this one, it would say what nobody saw."""
     form, count = divmod(text[0], 1 << COUNT) if text else (FORM, 0)
+    if form == FORM_SHARED and len(text) == 1 + count * SEEN_SHARED.size <= MESSAGE:
+        wide = SEEN_SHARED.iter_unpack(text[1:])
+        return [*_sightings(((units.wide(mark), *row) for mark, *row in wide), units, lanes)]
     end = HEAD + count * ROW.size
-    if form != FORM or end > len(text):
+    if form != FORM or not end <= len(text) <= MESSAGE:
+        units.passed_over["length" if form in (FORM, FORM_SHARED) else "form"] += 1
         return []
     pace = [Pace(text[1] * STEP)] if text[1] != UNTOLD else []
-    words: list[Word] = [
-        Sighting(unit, lanes[lane], build, outcomes, faults)
-        for mark, build, lane, outcomes, *faults in ROW.iter_unpack(text[HEAD:end])
-        if (unit := units.get(mark))
-        and unit.build == build
-        and lane < len(lanes)
-        and unit.condition is Condition.READY
-    ]
-    rest = text[end : len(text) - (len(text) - end) % LOAD.size]
-    loads = (Load(unit, trips) for mark, trips in LOAD.iter_unpack(rest) if (unit := units.get(mark)))
     answered = [Answered(text[2])] if text[2] != UNTOLD else []
-    return [*words, *loads, *pace, *answered]
+    rows = ROW.iter_unpack(text[HEAD:end])
+    seen = [*_sightings(((units.short(mark), *row) for mark, *row in rows if row[1] != SHARED), units, lanes)]
+    halves = list[tuple[int, int]]()
+    for place in range(HEAD, end, ROW.size):
+        first, kind, trips, *second = LOADS_SHARED.unpack_from(text, place)
+        halves += [(first, trips), (second[0], second[1])] if kind == SHARED else []
+    rest = text[end : len(text) - (len(text) - end) % LOAD.size]
+    return [*seen, *_loads([*LOAD.iter_unpack(rest)], halves, units), *pace, *answered]
+
+
+def _sightings(rows: Iterable[Seen], units: Marks, lanes: Sequence[Lane]) -> Iterator[Sighting]:
+    for unit, build, lane, outcomes, *faults in rows:
+        if unit is not None:
+            if unit.build == build and lane < len(lanes) and unit.condition is Condition.READY:
+                yield Sighting(unit, lanes[lane], build, outcomes, faults)
+            else:
+                units.passed_over["other"] += 1
+
+
+def _loads(plain: list[tuple[int, int]], shared: list[tuple[int, int]], units: Marks) -> list[Word]:
+    """What is out, from rows by mark and by wide mark. A full letter stays one though rows of it are passed
+    over: units that it leaves out are not idle. One of which nothing is understood says that much."""
+    marks = dict(plain)
+    if len(marks) < len(plain):  # an earlier program tells so of two units as one
+        many = Counter(mark for mark, _ in plain)
+        marks = {mark: trips for mark, trips in plain if many[mark] == 1}
+        units.passed_over["doubled"] += len(plain) - len(marks)
+    found: list[Word] = [Load(unit, trips) for wide, trips in shared if wide and (unit := units.wide(wide))]
+    alone = units.alone
+    found += [Load(alone[mark], trips) for mark, trips in marks.items() if mark in alone or units.short(mark)]
+    least = [trips for wide, trips in shared if not wide and trips]
+    least += [plain[-1][1]] if len(plain) >= LOADS else []
+    if least and len(found) < LOADS:
+        found.append(Least(least[0]))
+    elif (plain or shared) and not found:
+        found.append(Least(0))
+    return found
--- a/lanelead/model/world.py
+++ b/lanelead/model/world.py
@@ -26,6 +26,7 @@
     Duties,
     Fate,
     Lane,
+    Least,
     Listing,
     Load,
     Lookup,
@@ -345,7 +346,7 @@
     def _heard(self, other: Host, host: Host, words: Sequence[Word]) -> None:
         theirs = list[Word]()
         for word in words:
-            if isinstance(word, Pace | Answered):
+            if isinstance(word, Pace | Answered | Least):
                 theirs.append(word)
             elif (machine := host.machines.get(word.unit)) in other.units:
                 unit = other.units[machine]
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -260,6 +260,7 @@
             "spoilt": links.spoilt,
             "short": links.short,
             "dropped": self._letters.dropped,
+            "passed_over": dict(self.driver.door.marks.passed_over),
             "discovery": self._discovery.newest.up,
             "desk": self._desk.newest.up,
             "lag_ms": round(self._lag * 1000, 1),
