--- a/lanelead/hosting/door.py
+++ b/lanelead/hosting/door.py
@@ -120,9 +120,9 @@
     Where some of those were told and others left out, a place in a row says under no mark what the others
     have at the most."""
     told = loads[:LOADS]
-    if shared := sum(load.unit.wide != 0 for load in told):
-        whole = len(loads) == len(told) and _size(shared, len(told) - shared) <= ROOM
-        told = loads if whole else _first(told)
+    shared = sum(load.unit.wide != 0 for load in told)
+    if shared and _size(shared, len(told) - shared) > ROOM:
+        told = _first(told)
     pairs = [(load.unit.wide, min(load.trips, 255)) for load in told if load.unit.wide]
     pairs += [(0, min(loads[len(told)].trips, 255))] if shared and len(told) < len(loads) else []
     pairs += [(0, 0)] * (len(pairs) % 2)
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -29,6 +29,7 @@
 
 A, B, C = "u0", "u5578", "u1"  # the first two have one mark, the third its own
 TWINS = "ff81d0f447", "69d19deb1c"  # one wide mark
+THIRD = "u131424"  # their mark, and a wide mark of its own
 FAULTS = [0, 1, 0, 0, 2]
 
 # Letters as written by the program before wide marks (f8e7855), of units of build 7: sightings of A, B, C of
@@ -93,6 +94,8 @@
         self.assertEqual(crc(A) & 0xFFFF, crc(B) & 0xFFFF)
         self.assertNotEqual(crc(A), crc(B))
         self.assertEqual(*map(crc, TWINS))
+        self.assertEqual(crc(TWINS[0]) & 0xFFFF, crc(THIRD) & 0xFFFF)
+        self.assertNotEqual(crc(TWINS[0]), crc(THIRD))
         self.assertNotIn(crc(C) & 0xFFFF, (crc(A) & 0xFFFF, crc(TWINS[0]) & 0xFFFF))
 
     def test_numbered_names_share_marks_by_hundreds_and_wide_marks_never(self) -> None:
@@ -134,6 +137,25 @@
         self.assertEqual({C: [5, 5]}, read(door(TWINS[0], C), texts))
         self.assertEqual([NAMELESS] * 2, [teller.units[name].wide for name in TWINS])
 
+    def test_a_wide_mark_that_two_have_is_understood_where_one_of_them_is_known(self) -> None:
+        texts = letters(door(TWINS[0], THIRD), {TWINS[0]: 6, THIRD: 5}, {TWINS[0]: 3})
+        both = door(*TWINS, THIRD)
+        self.assertEqual({THIRD: [5]}, read(both, texts))
+        self.assertEqual({"shared": 2}, both.marks.passed_over)
+        self.assertEqual({TWINS[0]: [3, 6], THIRD: [5]}, read(door(TWINS[0], THIRD), texts))
+
+    def test_loads_beside_many_sightings_come_whole_in_letters_of_the_allowed_length(self) -> None:
+        names = [f"s-{number}" for number in range(48)]
+        teller = door(A, B, *names)
+        for many in range(48):
+            for loads in ({A: 6}, {A: 6, B: 7}, {A: 6, B: 7, names[0]: 8, names[1]: 9}):
+                texts = letters(teller, loads, dict.fromkeys(names[:many], 3))
+                self.assertLessEqual(max(map(len, texts)), MESSAGE - 2)
+                rows = [*((name, 3) for name in names[:many]), *loads.items()]
+                told = {name: sorted(number for at, number in rows if at == name) for name, _ in rows}
+                self.assertEqual(told, read(door(A, B, *names), texts))
+                self.assertEqual(1, sum(A in read(door(A, B), [text]) for text in texts))
+
     def test_sightings_of_many_such_units_are_told_in_letters_of_the_allowed_length(self) -> None:
         names = [f"unit-{number:04}" for number in range(10_000)]
         teller = door(*names)
@@ -277,6 +299,13 @@
             self.assertEqual([], pack([Load(lost, 9), Sighting(lost, PURE, 7, 9, FAULTS)], [PURE]))
             self.assertEqual(1, len(hearer.marks))
 
+    def test_a_unit_whose_mark_was_freed_and_that_is_forgotten_leaves_nothing(self) -> None:
+        teller = door(A, B)
+        lost = teller.units[A]
+        teller.retire(lost)
+        teller.forget(lost)
+        self.assertEqual(({}, 1), (teller._retired, len(teller.marks)))
+
     def test_a_unit_met_anew_shares_its_mark_again(self) -> None:
         teller = door(A, B)
         teller.forget(teller.units[B])
@@ -316,7 +345,7 @@
         self.assertEqual((crc(A), crc(B)), (a.wide, b.wide))
         play(8200, B)
         self.assertEqual((NAMELESS, 0, b), (a.wide, b.wide, host.door.marks.short(crc(A) & 0xFFFF)))
-        self.assertIs(a, host.door.units[A])
+        self.assertEqual((a, {}), (host.door.units[A], host.gone))
         play(8300, A, B)
         self.assertEqual((crc(A), crc(B)), (a.wide, b.wide))
         play(8400, B)
