Requests written one behind another are each answered: the ninth ended the connection

At fault: node/client.py PIPELINED = 8, _take and _heard: a ninth command that waits condemned the connection, and a read with nine took none of them. Ruled out: unreadable statements, evictions, restarts.

--- a/lanelead/node/client.py
+++ b/lanelead/node/client.py
@@ -23,7 +23,10 @@
 from lanelead.relay.driver import Driver, Outcome, Ticket
 
 BUFFER = 32768  # bytes read at once
-PIPELINED = 8  # commands of one connection that wait for answers, at most
+AT_ONCE = 64  # commands of one read: of more, none is taken
+PIPELINED = 128  # commands of one connection that wait for answers: one more is refused, in its place
+MOST_HELD = 1 << 20  # bytes of the commands that wait: with more, the same
+MOST_SLOTS = 1024  # answers in order, those refusals among them, at most
 MOST_OWED = 1 << 18  # bytes of answers that a client leaves unread: with more, no command of its is read
 MOST_DISCARDED = 1 << 22  # bytes read from a client behind what can't be read, at most
 LINGER = 0.25  # seconds for a client to read the last that it was sent
@@ -52,10 +55,13 @@
 class Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("due", "text", "ticket")
+    __slots__ = ("due", "size", "text", "ticket")
 
-    def __init__(self, ticket: Ticket | None, text: bytes | None, due: float = math.inf) -> None:
+    def __init__(
+        self, ticket: Ticket | None, text: bytes | None, due: float = math.inf, size: int = 0
+    ) -> None:
         self.ticket, self.text, self.due = ticket, text, due  # when it is owed, on the loop's clock
+        self.size = size  # bytes of its command
 
 
 class Client:
@@ -63,14 +69,15 @@
     sent can't be read (`judged`), or because the relay stops (`leaving`)."""
 
     __slots__ = (
-        "asked", "began", "closing", "discarded", "front", "judged", "leaving", "moved", "owed", "paused",
-        "reader", "reading", "shut", "slots", "sock", "writing",
+        "asked", "began", "closing", "discarded", "front", "held", "judged", "leaving", "moved", "owed",
+        "paused", "reader", "reading", "shut", "slots", "sock", "writing",
     )  # fmt: skip
 
     def __init__(self, front: House, sock: socket.socket) -> None:
         self.front, self.sock = front, sock
         self.reader = ClientReader(front.longest)
         self.slots: deque[Slot] = deque()
+        self.held = 0  # bytes of the commands that wait
         self.owed = bytearray()  # answers that the kernel did not take
         self.asked = False  # it has asked for something that could be read
         self.closing = self.leaving = False
@@ -121,18 +128,18 @@
         self.moved = self.front.loop.time()
         events = self.reader.feed(data)
         # Hundreds of commands at once: none of them is taken.
-        if len(events) > 1 and sum(type(event) is Query for event in events) + len(self.slots) > PIPELINED:
+        if len(events) > AT_ONCE and sum(type(event) is Query for event in events) > AT_ONCE:
             self.reader.over = True
-            events = [Fault("54000", f"more than {PIPELINED} commands wait for their answers")]
+            events = [Fault("54000", f"more than {AT_ONCE} commands at once")]
         for event in events:
             self._heard(event)
         return len(data) if self.sock.fileno() >= 0 else -1
 
     def _heard(self, event: Event) -> None:
         if type(event) is Query:
-            if len(self.slots) >= PIPELINED:
+            if len(self.slots) >= MOST_SLOTS:
                 self.reader.over = True
-                self.condemn("54000", f"more than {PIPELINED} commands wait for their answers")
+                self.condemn("54000", f"more than {MOST_SLOTS} commands wait for their answers")
             else:
                 self._asked(event.text)
         elif type(event) is Startup:
@@ -169,12 +176,19 @@
             front.refused += 1
             self._say(front.refusal(Outcome.SHED, 0))
             return
+        # Guards against one connection that holds all that the relay may: it is told so, command by command,
+        # since whoever writes its requests one behind another is owed an answer to each.
+        if len(self.slots) >= PIPELINED or (self.held and self.held + len(text) > MOST_HELD):
+            front.refused += 1
+            self._say(front.refusal(Outcome.SHED, 0))
+            return
         ticket = Ticket(statement.ident, statement, self._replied)
         front.open[statement.ident] = None
         left = min(int(statement.left_ms * 10), lane.outer_limit) - front.early
         if front.end is not None:
             left = min(left, int((front.end - front.loop.time()) * 10_000))
-        self.slots.append(Slot(ticket, None, front.loop.time() + left / 10_000))
+        self.held += len(text)
+        self.slots.append(Slot(ticket, None, front.loop.time() + left / 10_000, len(text)))
         member = front.members.get(statement.member) if statement.member else None
         front.driver.take(ticket, lane, member, statement.key, left, statement.again, statement.write)
 
@@ -213,7 +227,7 @@
         ready = []
         while self.slots and (text := self.slots[0].text) is not None:
             ready.append(text)
-            self.slots.popleft()
+            self.held -= self.slots.popleft().size
         if ready:
             self.moved = self.front.loop.time()
             self.owed += b"".join(ready)
