--- /dev/null
+++ b/lanelead/configuration/agreement.py
@@ -0,0 +1,242 @@
+"""One change for each version: single-decree Paxos, once a version (Lamport, "Paxos Made Simple", 2001).
+
+Rules:
+ 1. A voter takes part in version n + 1 only while it holds 1..n: what it says of any other version is behind
+    or ahead, and no vote.
+ 2. It promises a ballot only above every one that it promised or accepted. An equal one is refused too: a
+    proposer that lost its memory must not get a ballot a second time and give it another change.
+ 3. It accepts a change only at a ballot no lower than the one promised.
+ 4. A promise tells the change accepted at the highest ballot; a proposer that hears of one goes on with that
+    one, and with its own only for a later version.
+ 5. A change is decided once a majority of all voters has accepted it at one and the same ballot.
+ 6. Promise and vote are on disk before they are said; what could not be kept is not said.
+ 7. A voter that lost its disk abstains below the version from which it may vote (machine.py says which).
+ 8. It accepts no change that does not fit what it holds: another digest, or an ident that was made.
+ 9. An answer is one of this ballot, or it is not counted; each voter counts once.
+10. A proposal's change may be made from when it was first sent to be accepted until its version is decided
+    otherwise: an end in between is `unknown`, any other says that nothing was changed.
+11. Tries are bounded, each waits longer, with a random part: proposers that meet don't meet for ever.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+from lanelead.protocols.configuration import (
+    Accept,
+    Accepted,
+    Ballot,
+    Change,
+    Prepare,
+    Promise,
+    Proposal,
+    Refusal,
+    Vote,
+)
+
+Keep = Callable[[int, Ballot, Ballot | None, Change | None], None]
+NONE = Ballot()
+PATIENCE = 0.6  # seconds that the first try waits for answers
+LONGEST = 5.0  # seconds that any waits: links may hold a letter for two each way
+PAUSE = 0.05  # seconds before the second try, at most; later ones wait longer
+TRIES = 10  # at one version
+DEADLINE = 25.0  # seconds for a proposal in all
+
+
+class Unfit(Exception):
+    """The change does not fit what this voter holds, and is not voted for; the text says why."""
+
+
+class Acceptor:
+    """A voter's part, for the version after its head. `keep` puts its state on disk, or raises."""
+
+    def __init__(
+        self,
+        keep: Keep,
+        head: int = 0,
+        promised: Ballot = NONE,
+        accepted: Ballot | None = None,
+        change: Change | None = None,
+    ) -> None:
+        self._keep = keep
+        self.head, self.promised, self.accepted, self.change = head, promised, accepted, change
+        self.votes_from: int | None = 1  # the first version that it may vote on; none: on none yet
+        self.fits: Callable[[Change], None] = lambda change: None  # raises Unfit
+
+    @property
+    def abstains(self) -> bool:
+        return self.votes_from is None or self.head + 1 < self.votes_from
+
+    def prepare(self, ask: Prepare) -> Promise:
+        if ask.version != self.head + 1:
+            return Promise("ahead" if ask.version <= self.head else "behind", self.head)
+        if self.abstains:
+            return Promise("abstains", self.head)
+        if ask.ballot <= self.promised:
+            return Promise("refused", self.head, self.promised)
+        self._keep(ask.version, ask.ballot, self.accepted, self.change)
+        self.promised = ask.ballot
+        return Promise("promised", self.head, ask.ballot, self.accepted, self.change)
+
+    def accept(self, ask: Accept) -> Vote:
+        """Raises Unfit."""
+        if ask.change.version != self.head + 1:
+            return Vote("ahead" if ask.change.version <= self.head else "behind", self.head)
+        if self.abstains:
+            return Vote("abstains", self.head)
+        if ask.ballot < self.promised:
+            return Vote("refused", self.head, self.promised)
+        self.fits(ask.change)
+        self._keep(ask.change.version, ask.ballot, ask.ballot, ask.change)
+        self.promised = self.accepted = ask.ballot
+        self.change = ask.change
+        return Vote("accepted", self.head, ask.ballot)
+
+    def advance(self, head: int) -> None:
+        """What was decided up to `head` is on disk: votes for the next version begin."""
+        if head > self.head:
+            self.head, self.promised, self.accepted, self.change = head, NONE, None, None
+
+
+class Holder(Protocol):
+    """What the proposer's machine holds."""
+
+    @property
+    def head(self) -> int: ...
+
+    @property
+    def group(self) -> str: ...
+
+    def made(self, proposal: Proposal) -> Accepted | Refusal | None:
+        """The version that made it already; a refusal where its ident was used for something else."""
+
+    def change(self, proposal: Proposal) -> Change | Refusal:
+        """What it comes to as the version after the head."""
+
+
+class Proposer:
+    """One proposal. `asks` fills with what is to be sent to which voter; `result` ends it. `decided` has a
+    change that its machine has to learn and tell; call `step` then, and when time passes."""
+
+    def __init__(
+        self, number: int, voters: Sequence[int], proposal: Proposal, holder: Holder, chance: Random, now: float
+    ) -> None:
+        self._number, self._voters, self.proposal = number, voters, proposal
+        self._holder, self._chance = holder, chance
+        self._many = len(voters) // 2 + 1
+        self._version = -1  # that the tries are for
+        self._tries, self._number_seen = 0, 0
+        self._ballot = NONE
+        self._change: Change | None = None  # under way to be accepted
+        self._maybe: int | None = None  # the version that may yet be this proposal's
+        self._promises: dict[int, Promise] = {}
+        self._votes: dict[int, Vote] = {}
+        self._ends = now + DEADLINE
+        self._next = now  # when the next try begins, or this one is given up
+        self._idle = True
+        self.words: dict[int, str] = {}  # what each voter last said, for who reads the refusal
+        self.asks: list[tuple[int, Prepare | Accept]] = []
+        self.decided: Change | None = None
+        self.result: Accepted | Refusal | None = None
+
+    @property
+    def patience(self) -> float:
+        return min(LONGEST, PATIENCE * 2 ** max(0, self._tries - 1))
+
+    @property
+    def next(self) -> float:
+        """When `step` is due."""
+        return min(self._next, self._ends)
+
+    def step(self, now: float) -> None:
+        if self.result is not None:
+            return
+        if self._version != self._holder.head + 1:
+            self._version, self._tries, self._number_seen = self._holder.head + 1, 0, 0
+            self._ballot, self._idle, self._next = NONE, True, now
+            if self._maybe is not None and self._maybe <= self._holder.head:
+                self._maybe = None  # decided, and `made` says whether as ours
+        self.result = self._holder.made(self.proposal)
+        if self.result is not None:
+            return
+        if now >= self._ends or (now >= self._next and self._tries >= TRIES):
+            self._give_up()
+        elif now >= self._next:
+            if self._idle:
+                self._begin(now)
+            else:
+                self._pause(now)
+
+    def _begin(self, now: float) -> None:
+        # Guards against a proposal that can't be made at all: it is refused before anybody is asked.
+        fit = self._holder.change(self.proposal)
+        if isinstance(fit, Refusal) and self._maybe is None:
+            self.result = fit
+            return
+        self._tries += 1
+        self._number_seen += 1
+        self._ballot, self._change = Ballot(self._number_seen, self._number), None
+        self._promises, self._votes, self._idle = {}, {}, False
+        self._next = now + self.patience
+        ask = Prepare(self._version, self._ballot, self._holder.group)
+        self.asks += [(voter, ask) for voter in self._voters]
+
+    def _pause(self, now: float) -> None:
+        self._idle, self._ballot = True, NONE
+        self._next = now + PAUSE * 2 ** min(self._tries, 5) * self._chance.random()
+
+    def _give_up(self) -> None:
+        said = ", ".join(f"{voter} {self.words.get(voter, 'silent')}" for voter in self._voters)
+        if self._maybe is not None:
+            text = f"it may be made yet as version {self._maybe}: ask again with the same ident ({said})"
+            self.result = Refusal("unknown", text)
+        else:
+            self.result = Refusal(
+                "abstains", f"no majority of the voting machines took part, nothing was changed ({said})"
+            )
+
+    def promised(self, voter: int, ask: Prepare, promise: Promise, now: float) -> None:
+        self._heard(voter, promise.word, promise.ballot, ask.version)
+        if ask.ballot != self._ballot or self._idle or self._change is not None:
+            return
+        self._promises.setdefault(voter, promise)
+        given = [said for said in self._promises.values() if said.word == "promised"]
+        if len(given) >= self._many:
+            self._go_on(given, now)
+        elif len(self._voters) - len(self._promises) + len(given) < self._many:
+            self._pause(now)
+
+    def _go_on(self, given: list[Promise], now: float) -> None:
+        found = [said for said in given if said.accepted is not None and said.change is not None]
+        if found:
+            change = max(found, key=lambda said: said.accepted or NONE).change
+        else:
+            own = self._holder.change(self.proposal)
+            if isinstance(own, Refusal):
+                self._pause(now)  # and `_begin` says so, where nothing of it is on its way
+                return
+            change = own
+        assert change is not None
+        self._change, self._next = change, now + self.patience
+        if change.ident == self.proposal.ident:
+            self._maybe = change.version
+        ask = Accept(self._ballot, change, self._holder.group)
+        self.asks += [(voter, ask) for voter in self._voters]
+
+    def voted(self, voter: int, ask: Accept, vote: Vote, now: float) -> None:
+        self._heard(voter, vote.word, vote.ballot, ask.change.version)
+        if ask.ballot != self._ballot or self._idle or self._change is None:
+            return
+        self._votes.setdefault(voter, vote)
+        given = sum(said.word == "accepted" for said in self._votes.values())
+        if given >= self._many:
+            self.decided, self._next = self._change, now + self.patience
+        elif len(self._voters) - len(self._votes) + given < self._many:
+            self._pause(now)
+
+    def _heard(self, voter: int, word: str, ballot: Ballot, version: int) -> None:
+        self.words[voter] = word
+        if version == self._version:
+            self._number_seen = max(self._number_seen, ballot.number)
--- a/lanelead/protocols/configuration.py
+++ b/lanelead/protocols/configuration.py
@@ -117,8 +117,11 @@
 
 
 class Prepare(msgspec.Struct, frozen=True):
+    """`group`: of the history and the set of voters that the sender goes by; another one is not voted for."""
+
     version: Whole  # the one that is to be decided: the last known one plus one
     ballot: Ballot
+    group: str = ""
 
 
 class Promise(msgspec.Struct, frozen=True):
@@ -135,6 +138,7 @@
 class Accept(msgspec.Struct, frozen=True):
     ballot: Ballot
     change: Change
+    group: str = ""
 
 
 class Vote(msgspec.Struct, frozen=True):
@@ -149,7 +153,9 @@
     machine: Whole
     history: str  # empty: none yet
     head: Whole
-    empty: bool = False  # it has nothing on its disk and abstains
+    empty: bool = False  # it started with nothing on its disk, and abstains still
+    ready: bool = False  # it has seen all voters empty, and none that votes
+    voters: Annotated[list[Whole], Meta(max_length=64)] = []  # as its settings have them
     form: int = FORM
 
 
