--- a/lanelead/configuration/agreement.py
+++ b/lanelead/configuration/agreement.py
@@ -121,7 +121,13 @@
     change that its machine has to learn and tell; call `step` then, and when time passes."""
 
     def __init__(
-        self, number: int, voters: Sequence[int], proposal: Proposal, holder: Holder, chance: Random, now: float
+        self,
+        number: int,
+        voters: Sequence[int],
+        proposal: Proposal,
+        holder: Holder,
+        chance: Random,
+        now: float,
     ) -> None:
         self._number, self._voters, self.proposal = number, voters, proposal
         self._holder, self._chance = holder, chance
@@ -143,7 +149,7 @@
 
     @property
     def patience(self) -> float:
-        return min(LONGEST, PATIENCE * 2 ** max(0, self._tries - 1))
+        return min(LONGEST, PATIENCE * float(1 << max(0, self._tries - 1)))
 
     @property
     def next(self) -> float:
@@ -185,7 +191,7 @@
 
     def _pause(self, now: float) -> None:
         self._idle, self._ballot = True, NONE
-        self._next = now + PAUSE * 2 ** min(self._tries, 5) * self._chance.random()
+        self._next = now + PAUSE * float(1 << min(self._tries, 5)) * self._chance.random()
 
     def _give_up(self) -> None:
         said = ", ".join(f"{voter} {self.words.get(voter, 'silent')}" for voter in self._voters)
--- /dev/null
+++ b/lanelead/configuration/machine.py
@@ -0,0 +1,390 @@
+"""One of the machines that hold the configuration: its rules, without sockets and clocks.
+
+Rules:
+ 1. Every 0.5 s a machine gives a sign of life to each other one. Only an answer to its own sign counts, as of
+    when the sign was sent: what was held up on the way makes nothing look fresh.
+ 2. Whoever hears of a higher head asks for the changes between, or for a snapshot where they are not kept.
+ 3. One history is followed: a machine of another, or one whose settings name other voters, is left alone.
+ 4. A voter that starts with nothing on its disk may have voted before, and abstains. Once it has heard, since
+    its start, from so many voters that do vote that one of them has accepted whatever it once held as decided
+    (with n voters and a majority of m: n - m + 1 others), it votes again from their highest head plus 3 on:
+    that voter held all but the last version that this one held, and this one voted on one more at the most.
+ 5. In a first start every voter is empty. One that sees all the others empty, and none that votes, becomes
+    ready, on disk; one that is ready begins to vote when it sees all ready, or one that votes. One that is
+    empty where somebody votes is not part of a first start: rule 4.
+ 6. Nothing is proposed for version 1 but by a voter that votes: else rule 5 could miss a vote.
+ 7. One proposal at a time, the others wait, a bounded number of them. What is decided is told to all.
+ 8. `heard`: when a majority of voters, with itself, last had no higher head than its own.
+
+What is to be sent is in `calls`; whoever carries them tells `answered`, with none where no answer came.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+from lanelead.configuration.agreement import LONGEST, Proposer, Unfit
+from lanelead.configuration.holding import Holding, Strange
+from lanelead.configuration.store import StoreFault
+from lanelead.protocols.configuration import (
+    Accept,
+    Change,
+    Log,
+    Prepare,
+    Promise,
+    Proposal,
+    Refusal,
+    Sign,
+    Vote,
+)
+from lanelead.protocols.machines import PAGES, Decided, Snapshot
+
+SIGNS = 0.5  # seconds
+OUT = 12  # signs to one machine without an answer yet, at the most
+FETCHES = 3  # machines that are asked for changes at a time
+QUEUE = 64  # proposals
+NEVER = -1e6  # seconds before its start
+
+
+@dataclass(frozen=True)
+class Asked:
+    """Changes from a version on, or a page of a snapshot."""
+
+    since: int
+    snapshot: bool = False
+    page: int = 0
+
+
+@dataclass(frozen=True, eq=False)
+class Call:
+    to: int
+    body: Prepare | Accept | Decided | Sign | Asked
+    sent: float
+    proposer: Proposer | None = None
+    limit: float = LONGEST  # seconds to wait for an answer
+
+
+@dataclass
+class Seen:
+    """Another machine, as its last answer had it."""
+
+    out: int = 0
+    sent: float | None = None  # when the sign was sent that was answered last
+    held: float | None = None  # the same, where its head was not above one's own
+    head: int = 0
+    empty: bool = False
+    ready: bool = False
+    history: str = ""
+    strange: str = ""  # why it is left alone
+    fetching: float = NEVER  # until when its answer is waited for
+    pages: list[Snapshot] = field(default_factory=list)
+
+
+class Machine:
+    """`told`: is called with what an operator should read, and what to do."""
+
+    def __init__(
+        self,
+        number: int,
+        voters: Sequence[int],
+        others: Sequence[int],
+        holding: Holding,
+        chance: Random,
+        now: float,
+        told: Callable[[str, str], None] = lambda text, remedy: None,
+    ) -> None:
+        self.number, self.voters, self.holding = number, tuple(voters), holding
+        self.seen = {other: Seen() for other in others}
+        self.calls: list[Call] = []
+        self.fault = ""  # of the store, at its last try
+        self._chance, self._told, self._started = chance, told, now
+        self._many = len(self.voters) // 2 + 1
+        self._waiting: deque[Proposer] = deque()
+        self._next_sign = now
+        self._now = now
+        self._stand()
+
+    @property
+    def votes(self) -> bool:
+        return self.number in self.voters and not self.holding.acceptor.abstains
+
+    @property
+    def waiting(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def due(self) -> float:
+        """When `tick` is to be called."""
+        return min([self._next_sign] + [proposer.next for proposer in list(self._waiting)[:1]])
+
+    @property
+    def heard(self) -> float:
+        """When a majority of the voters was last heard."""
+        times = [self._now] if self.number in self.voters else []
+        for voter in self.voters:
+            seen = self.seen.get(voter)
+            if seen is not None and seen.held is not None and not seen.empty:
+                times.append(seen.held)
+        times.sort(reverse=True)
+        return times[self._many - 1] if len(times) >= self._many else self._started + NEVER
+
+    def tick(self, now: float) -> None:
+        self._now = max(self._now, now)
+        if now >= self._next_sign:
+            self._next_sign = now + SIGNS * self._chance.uniform(0.9, 1.1)
+            for other, seen in self.seen.items():
+                if seen.out < OUT:
+                    seen.out += 1
+                    self.calls.append(Call(other, self.sign(), now))
+        self._pump(now)
+
+    def sign(self) -> Sign:
+        holding = self.holding
+        empty = self.number in self.voters and holding.acceptor.abstains
+        return Sign(
+            self.number, holding.history, holding.head, empty, holding.ready and empty, list(self.voters)
+        )
+
+    # What others ask. Each raises StoreFault where nothing may be said.
+
+    def asked_prepare(self, ask: Prepare, now: float) -> Promise:
+        if ask.group != self.holding.group and ask.version == self.holding.head + 1:
+            return Promise("abstains", self.holding.head)
+        if self.number not in self.voters:
+            return Promise("abstains", self.holding.head)
+        with self._disk():
+            promise = self.holding.acceptor.prepare(ask)
+        if promise.word == "behind":
+            self._fetch(ask.ballot.machine, now)
+        return promise
+
+    def asked_accept(self, ask: Accept, now: float) -> Vote:
+        """Raises Unfit, too."""
+        if ask.group != self.holding.group and ask.change.version == self.holding.head + 1:
+            return Vote("abstains", self.holding.head)
+        if self.number not in self.voters:
+            return Vote("abstains", self.holding.head)
+        with self._disk():
+            vote = self.holding.acceptor.accept(ask)
+        if vote.word == "behind":
+            self._fetch(ask.ballot.machine, now)
+        return vote
+
+    def asked_decided(self, told: Decided, now: float) -> None:
+        if told.group == self.holding.group:
+            self._learn([told.change])
+            self._pump(now)
+
+    def asked_sign(self, sign: Sign, now: float) -> Sign:
+        seen = self.seen.get(sign.machine)
+        if seen is not None and self._known(sign.machine, seen, sign) and sign.head > self.holding.head:
+            self._fetch(sign.machine, now)
+        return self.sign()
+
+    def asked_log(self, since: int) -> Log:
+        with self._disk():
+            changes, gone = self.holding.log(since)
+        return Log(self.holding.history, self.holding.head, changes, gone)
+
+    def propose(self, proposal: Proposal, now: float) -> Proposer | Refusal:
+        """What to wait for: its `result`."""
+        if len(self._waiting) >= QUEUE:
+            return Refusal("overloaded", f"{QUEUE} proposals wait already: ask again in a while")
+        if self.holding.head == 0 and not self.votes:
+            return Refusal("abstains", "this machine holds nothing yet: ask another, or again in a while")
+        proposer = Proposer(self.number, self.voters, proposal, self.holding, self._chance, now)
+        self._waiting.append(proposer)
+        self._pump(now)
+        return proposer
+
+    # What came of calls
+
+    def answered(self, call: Call, answer: Promise | Vote | Sign | Log | Snapshot | None, now: float) -> None:
+        self._now = max(self._now, now)
+        seen, proposer = self.seen[call.to], call.proposer
+        match call.body, answer:
+            case Sign(), _:
+                seen.out -= 1
+                if isinstance(answer, Sign):
+                    self._sign(call, seen, answer, now)
+            case Prepare(), Promise() if proposer is not None:
+                proposer.promised(call.to, call.body, answer, now)
+                if answer.word == "ahead":
+                    self._fetch(call.to, now)
+            case Accept(), Vote() if proposer is not None:
+                proposer.voted(call.to, call.body, answer, now)
+                if answer.word == "ahead":
+                    self._fetch(call.to, now)
+            case Asked(), _:
+                seen.fetching = NEVER
+                if isinstance(answer, Log):
+                    self._log(call, seen, answer, now)
+                elif isinstance(answer, Snapshot):
+                    self._page(call, seen, answer, now)
+                else:
+                    seen.pages = []
+        self._pump(now)
+
+    def _sign(self, call: Call, seen: Seen, sign: Sign, now: float) -> None:
+        if (seen.sent is not None and call.sent < seen.sent) or not self._known(call.to, seen, sign):
+            return
+        seen.sent, seen.head, seen.history = call.sent, sign.head, sign.history
+        seen.empty, seen.ready = sign.empty, sign.ready
+        if sign.head <= self.holding.head:
+            seen.held = call.sent
+        else:
+            self._fetch(call.to, now)
+        self._stand()
+
+    def _known(self, number: int, seen: Seen, sign: Sign) -> bool:
+        """Guards against versions of two histories taken for one, and majorities of two sets of voters."""
+        mine, why = self.holding.history, ""
+        if sign.machine != number:
+            why = f"machine {sign.machine} answers at its address: mend the address in the settings"
+        elif sorted(sign.voters) != sorted(self.voters):
+            why = f"its settings name the voters {sorted(sign.voters)}: give all machines the same"
+        elif mine and sign.history and sign.history != mine:
+            why = f"it holds the history {sign.history}, this one {mine}: start the wrong one with no file"
+        if why and why != seen.strange:
+            self._told(f"machine {number} is left alone", why)
+        seen.strange = why
+        if why:
+            seen.held = None
+        return not why
+
+    def _stand(self) -> None:
+        """Rules 4 and 5."""
+        holding = self.holding
+        if self.number not in self.voters or holding.acceptor.votes_from is not None:
+            return
+        others = [self.seen[voter] for voter in self.voters if voter != self.number]
+        fresh = [seen for seen in others if seen.sent is not None and not seen.strange]
+        voting = [seen for seen in fresh if not seen.empty]
+        try:
+            whole = len(fresh) == len(others)
+            new = whole and not voting and all(seen.head == 0 and not seen.history for seen in fresh)
+            if holding.head == 0 and not holding.ready and new:
+                with self._disk():
+                    holding.stand(True, None)
+            if holding.ready and (voting or (whole and all(seen.ready for seen in fresh))):
+                with self._disk():
+                    holding.stand(True, 1)
+            elif not holding.ready and len(voting) >= len(self.voters) - self._many + 1:
+                with self._disk():
+                    holding.stand(False, max(seen.head for seen in voting) + 3)
+        except StoreFault:
+            return  # told already, and tried again with the next sign
+
+    # Catching up
+
+    def _fetch(self, other: int, now: float) -> None:
+        seen = self.seen.get(other)
+        busy = sum(seen.fetching > now for seen in self.seen.values())
+        if seen is not None and not seen.strange and seen.fetching <= now and busy < FETCHES:
+            seen.pages = []
+            self._ask(other, seen, Asked(self.holding.head + 1), now)
+
+    def _ask(self, other: int, seen: Seen, asked: Asked, now: float) -> None:
+        seen.fetching = now + LONGEST
+        self.calls.append(Call(other, asked, now))
+
+    def _log(self, call: Call, seen: Seen, log: Log, now: float) -> None:
+        mine = self.holding.history
+        if not log.history or (mine and log.history != mine):
+            return
+        if log.whole:
+            self._ask(call.to, seen, Asked(0, True), now)
+        elif log.changes and not mine and log.changes[0].ident != log.history:
+            self._told(f"the log of machine {call.to} is not taken", "it does not begin with its history")
+        elif self._learn(log.changes) and self.holding.head < log.head:
+            self._ask(call.to, seen, Asked(self.holding.head + 1), now)
+
+    def _page(self, call: Call, seen: Seen, page: Snapshot, now: float) -> None:
+        seen.pages.append(page)
+        if page.page != len(seen.pages) - 1 or page.version != seen.pages[0].version:
+            seen.pages = []
+        elif len(seen.pages) < PAGES:
+            self._ask(call.to, seen, Asked(page.version, True, page.page + 1), now)
+        else:
+            pages, seen.pages = seen.pages, []
+            try:
+                with self._disk():
+                    self.holding.install(pages)
+            except Strange as fault:
+                self._told(f"the snapshot of machine {call.to} is not taken", str(fault))
+            except StoreFault:
+                return
+            self._caught_up()
+
+    def _learn(self, changes: Sequence[Change]) -> bool:
+        """Has the head moved?"""
+        before = self.holding.head
+        try:
+            with self._disk():
+                for change in changes:
+                    self.holding.learn(change)
+        except Strange as fault:
+            remedy = "start this machine with no file, or with the same bounds as the others"
+            self._told(str(fault), remedy)
+        except StoreFault:
+            pass
+        self._caught_up()
+        return self.holding.head > before
+
+    def _caught_up(self) -> None:
+        for seen in self.seen.values():
+            if seen.sent is not None and seen.head <= self.holding.head:
+                seen.held = seen.sent
+
+    # Proposals
+
+    def _pump(self, now: float) -> None:
+        """Goes on with the first proposal as far as that is possible now."""
+        while self._waiting:
+            proposer = self._waiting[0]
+            proposer.step(now)
+            if proposer.result is not None:
+                self._waiting.popleft()
+                continue
+            if proposer.decided is not None:
+                change, proposer.decided = proposer.decided, None
+                told = Decided(change, self.holding.group)
+                self.calls += [Call(other, told, now) for other in self.seen]
+                if not self._learn([change]):
+                    return
+                continue
+            if not proposer.asks:
+                return
+            asks, proposer.asks = proposer.asks, []
+            for voter, ask in asks:
+                if voter != self.number:
+                    self.calls.append(Call(voter, ask, now, proposer, proposer.patience))
+            # Its own vote last, once the others' are under way.
+            for voter, ask in asks:
+                if voter == self.number:
+                    self._own(proposer, ask, now)
+
+    def _own(self, proposer: Proposer, ask: Prepare | Accept, now: float) -> None:
+        try:
+            if isinstance(ask, Prepare):
+                proposer.promised(self.number, ask, self.asked_prepare(ask, now), now)
+            else:
+                proposer.voted(self.number, ask, self.asked_accept(ask, now), now)
+        except (StoreFault, Unfit):
+            proposer.words[self.number] = "fault"
+
+    @contextmanager
+    def _disk(self) -> Iterator[None]:
+        """Notes whether the store could be used."""
+        try:
+            yield
+        except StoreFault as fault:
+            if not self.fault:
+                self._told(f"{type(fault).__name__}: {fault}", fault.remedy)
+            self.fault = f"{type(fault).__name__}: {fault}"
+            raise
+        self.fault = ""
--- a/lanelead/configuration/store.py
+++ b/lanelead/configuration/store.py
@@ -4,8 +4,9 @@
  changes  the log of late, the document's entries and the idents made move on together, in one transaction
  bounds   the log by number and age, idents by number, the document by its own bounds
 
-WAL and synchronous FULL: what was answered is on disk. The file is one process's alone. A copy of yesterday put
-in its place would forget votes: never restore one; a machine that starts with no file takes all from the others.
+WAL and synchronous FULL: what was answered is on disk. The file is one process's alone. A copy of yesterday
+put in its place would forget votes: never restore one; a machine that starts with no file takes all from the
+others.
 """
 
 from __future__ import annotations
@@ -31,7 +32,8 @@
     history TEXT NOT NULL, head INTEGER NOT NULL, digest TEXT NOT NULL, floor INTEGER NOT NULL,
     ready INTEGER NOT NULL, votes_from INTEGER);
 CREATE TABLE IF NOT EXISTS vote (one INTEGER PRIMARY KEY CHECK (one = 1), version INTEGER NOT NULL,
-    promised INTEGER NOT NULL, promised_by INTEGER NOT NULL, accepted INTEGER, accepted_by INTEGER, change BLOB);
+    promised INTEGER NOT NULL, promised_by INTEGER NOT NULL, accepted INTEGER, accepted_by INTEGER,
+    change BLOB);
 CREATE TABLE IF NOT EXISTS log (version INTEGER PRIMARY KEY, at REAL NOT NULL, change BLOB NOT NULL);
 CREATE TABLE IF NOT EXISTS entry (key TEXT PRIMARY KEY, value BLOB NOT NULL, changed INTEGER) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS made (ident TEXT PRIMARY KEY, version INTEGER NOT NULL, mark TEXT NOT NULL);
@@ -115,7 +117,7 @@
         self.made: OrderedDict[str, Made] = OrderedDict()
         self.head = 0
         try:
-            self._db = sqlite3.connect(file, isolation_level=None, timeout=0.5)
+            self._db = self._connect(file)
         except sqlite3.Error as fault:
             raise fault_of(fault, f"opening {file}") from None
         try:
@@ -127,6 +129,9 @@
             self._db.close()
             raise
 
+    def _connect(self, file: str | Path) -> sqlite3.Connection:
+        return sqlite3.connect(file, isolation_level=None, timeout=0.5)
+
     def close(self) -> None:
         self._db.close()
 
@@ -144,7 +149,9 @@
             raise Corrupt(f"the file does not hold together: {str(found)[:200]}")
         row = db.execute("SELECT form, history, head, digest, floor, ready, votes_from FROM one").fetchone()
         if row is None:
-            if any(db.execute(f"SELECT 1 FROM {name} LIMIT 1").fetchone() for name in ("log", "entry", "vote")):
+            if any(
+                db.execute(f"SELECT 1 FROM {name} LIMIT 1").fetchone() for name in ("log", "entry", "vote")
+            ):
                 raise Corrupt("the file has changes or votes, but not how far they go")
             return Held()
         if row[0] != FORM:
@@ -184,9 +191,7 @@
             self.at(f"{point}.before")
             self._db.execute("BEGIN IMMEDIATE")
             try:
-                self._db.execute(
-                    "INSERT OR IGNORE INTO one VALUES (1, ?, '', 0, '', 0, 0, NULL)", (FORM,)
-                )
+                self._db.execute("INSERT OR IGNORE INTO one VALUES (1, ?, '', 0, '', 0, 0, NULL)", (FORM,))
                 yield self._db
                 self.at(f"{point}.commit")
                 self._db.execute("COMMIT")
@@ -218,7 +223,9 @@
 
     # Changes
 
-    def decide(self, history: str, change: Change, entries: list[tuple[str, bytes | None]], mark: str) -> None:
+    def decide(
+        self, history: str, change: Change, entries: list[tuple[str, bytes | None]], mark: str
+    ) -> None:
         """The change after the head. `entries` as the document keeps them; none: the key is gone."""
         if change.version != self.head + 1:
             raise Corrupt(f"version {change.version}, where the head is {self.head}")
@@ -228,7 +235,8 @@
             )
             now = self._clock()
             body = msgspec.json.encode(change)
-            db.execute("INSERT INTO log VALUES (?, ?, ?)", (change.version, now, body))
+            # A commit that was told as failed may be on disk all the same: the same change once more.
+            db.execute("INSERT OR REPLACE INTO log VALUES (?, ?, ?)", (change.version, now, body))
             db.executemany(
                 "INSERT OR REPLACE INTO entry VALUES (?, ?, ?)",
                 [(key, value or b"", change.version) for key, value in entries],
@@ -262,18 +270,35 @@
             raise Corrupt(f"a snapshot of version {version}, where the head is {self.head}")
         with self._transaction("replace") as db:
             db.execute(
-                "UPDATE one SET history = ?, head = ?, digest = ?, floor = ?", (history, version, digest, floor)
+                "UPDATE one SET history = ?, head = ?, digest = ?, floor = ?",
+                (history, version, digest, floor),
             )
             for table in ("log", "entry", "made"):
                 db.execute(f"DELETE FROM {table}")
             rows = [(key, value, changed) for key, (value, changed) in entries.items()]
             db.executemany("INSERT INTO entry VALUES (?, ?, ?)", rows)
             db.executemany(
-                "INSERT OR REPLACE INTO made VALUES (?, ?, ?)", [(row.ident, row.version, row.mark) for row in made]
+                "INSERT OR REPLACE INTO made VALUES (?, ?, ?)",
+                [(row.ident, row.version, row.mark) for row in made],
             )
         self.head = version
         self.made = OrderedDict((row.ident, row) for row in made)
 
+    def prune(self, version: int) -> None:
+        """Keys that are gone since this version or longer are forgotten."""
+        with self._transaction("prune") as db:
+            db.execute("DELETE FROM entry WHERE value = X'' AND changed <= ?", (version,))
+            db.execute("UPDATE one SET floor = MAX(floor, ?)", (version,))
+
+    @property
+    def first(self) -> int:
+        """The earliest version of the log; the one after the head where it is empty."""
+        try:
+            found = self._db.execute("SELECT MIN(version) FROM log").fetchone()[0]
+        except sqlite3.Error as fault:
+            raise fault_of(fault, "reading the log") from None
+        return self.head + 1 if found is None else int(found)
+
     def log(self, since: int, most: int = 1000, size: int = PAGE_BYTES) -> tuple[list[Change], bool]:
         """Changes from version `since` on, in order, and whether that one is not kept any more."""
         if since > self.head:
