--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -16,6 +16,7 @@
     "model": "lanelead.experiments.commands",
     "experiment": "lanelead.experiments.commands",
     "circle": "lanelead.circle.commands",
+    "configuration": "lanelead.configuration.commands",
     "load": "lanelead.load.commands",
 }
 
--- /dev/null
+++ b/lanelead/configuration/service.py
@@ -0,0 +1,396 @@
+"""A machine of the configuration as a process: HTTP/1.1 in front of its rules, its store and its source.
+
+    relays     GET  /configuration/watch?from=&digest=, /configuration/outline,
+                    /configuration/buckets?version=&numbers=; POST /configuration/applied
+    operators  POST /configuration; GET /configuration/status
+    machines   POST /configuration/prepare, accept, decided, sign; GET /configuration/log?from=,
+                    /configuration/snapshot?version=&page=
+
+docs/configuration.md has the bodies. Connections, bytes that come in and bytes not yet sent are bounded by
+the settings; whoever is over a bound is told so, or cut off where it does not read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random, SystemRandom
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import uvloop
+
+from lanelead.configuration.agreement import Proposer, Unfit
+from lanelead.configuration.document import Document
+from lanelead.configuration.holding import Holding
+from lanelead.configuration.machine import Asked, Call, Machine
+from lanelead.configuration.settings import Settings, place
+from lanelead.configuration.source import SIGN, Gone
+from lanelead.configuration.store import Store, StoreFault
+from lanelead.http import calls, writing
+from lanelead.http.asks import Ask
+from lanelead.http.serving import STREAM, Caller, chunk
+from lanelead.logs import logger
+from lanelead.protocols.configuration import (
+    Accept,
+    Accepted,
+    Applied,
+    Log,
+    Prepare,
+    Promise,
+    Proposal,
+    Refusal,
+    Sign,
+    Vote,
+)
+from lanelead.protocols.machines import PAGES, Decided, Peer, Snapshot, Status
+from lanelead.protocols.records import Malformed, decode, encode
+
+FIELDS = [(b"content-type", b"application/json")]
+STATUS = {"malformed": 400, "stale": 409, "unknown": 504, "overloaded": 503, "abstains": 503}
+LONGEST = 16 << 20  # bytes of another machine's answer
+PERIOD = 0.1  # seconds between two looks at who has to be told that this machine lives
+IDLE = 60.0  # seconds without a request after which a connection is closed
+WAITING = 256  # operators' calls that are not answered yet
+Answer = Promise | Vote | Sign | Log | Snapshot
+PATHS: dict[type, tuple[bytes, type[Answer] | None]] = {
+    Prepare: (b"/configuration/prepare", Promise),
+    Accept: (b"/configuration/accept", Vote),
+    Sign: (b"/configuration/sign", Sign),
+    Decided: (b"/configuration/decided", None),
+}
+
+
+class Refused(Exception):
+    def __init__(self, refusal: Refusal, status: int | None = None) -> None:
+        self.refusal, self.status = refusal, status or STATUS[refusal.why]
+
+
+@dataclass
+class Watcher:
+    position: int | None
+    told: float
+
+
+class Service:
+    def __init__(self, settings: Settings, store: Store, log: Any, chance: Random) -> None:
+        self._settings, self._store, self._log = settings, store, log
+        self._loop = asyncio.get_running_loop()
+        bounds = settings.bounds
+        holding = Holding(
+            store, settings.voters, lambda: Document(bounds.entries, bounds.document_bytes), time.time
+        )
+        others = [row.number for row in settings.machines if row.number != settings.machine]
+        self._places = {row.number: place(row.address) for row in settings.machines}
+        self.machine = Machine(
+            settings.machine, settings.voters, others, holding, chance, self._loop.time(), self._note
+        )
+        self._callers: dict[Caller, float] = {}  # with when each last asked
+        self._watchers: dict[Caller, Watcher] = {}
+        self._pending: dict[Caller, tuple[Proposer, Ask]] = {}
+        self._tasks: dict[asyncio.Task[None], None] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._server: asyncio.Server | None = None
+        self._told_head = holding.head
+        self._gets: dict[str, Callable[[dict[str, str]], msgspec.Struct]] = {
+            "status": lambda _: self.status(),
+            "outline": lambda _: self._source().outline(self._loop.time()),
+            "buckets": lambda q: self._source().buckets(_whole(q, "version"), _numbers(q)),
+            "log": lambda q: self.machine.asked_log(_whole(q, "from")),
+            "snapshot": self._snapshot,
+        }
+        self._posts: dict[str, Callable[[bytes], msgspec.Struct]] = {
+            "prepare": lambda body: self.machine.asked_prepare(self._read(body, Prepare), self._now()),
+            "accept": lambda body: self.machine.asked_accept(self._read(body, Accept), self._now()),
+            "sign": lambda body: self.machine.asked_sign(self._read(body, Sign), self._now()),
+            "decided": self._decided,
+            "applied": self._applied,
+        }
+
+    def _now(self) -> float:
+        return self._loop.time()
+
+    def _note(self, text: str, remedy: str) -> None:
+        self._log.warning(text, remedy=remedy)
+
+    def _read(self, body: bytes, kind: type[Any]) -> Any:
+        return decode(body, kind, self._settings.bounds.request_bytes)
+
+    # Life
+
+    async def open(self) -> None:
+        where = place(self._settings.listen or self._settings.here.address)
+        bounds = self._settings.bounds
+        self._server = await self._loop.create_server(
+            lambda: Caller(self._heard, self._met, bounds.request_bytes), where.host, where.port, backlog=1024
+        )
+        self._beat()
+        self._turn()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for caller in list(self._callers):
+            caller.reset()
+        self._store.close()
+
+    def _beat(self) -> None:
+        """Writes to those that have heard nothing for a while."""
+        self._loop.call_later(PERIOD, self._beat)
+        now = self._now()
+        self._tell(now - SIGN + PERIOD)
+        for caller, since in list(self._callers.items()):
+            # Guards against connections that fill the bound and ask nothing.
+            if now > since + IDLE and caller not in self._watchers and caller not in self._pending:
+                caller.close()
+
+    def _turn(self) -> None:
+        """After anything that happened: carries out what is to be sent, answers who waited, tells changes."""
+        machine = self.machine
+        sent, machine.calls = machine.calls, []
+        for call in sent:
+            task = self._loop.create_task(self._carry(call))
+            self._tasks[task] = None
+            task.add_done_callback(self._finished)
+        for caller, (proposer, ask) in list(self._pending.items()):
+            if proposer.result is not None:
+                del self._pending[caller]
+                self._proposed(caller, ask, proposer.result)
+        if machine.holding.head != self._told_head:
+            self._told_head = machine.holding.head
+            self._tell(self._now() - SIGN + PERIOD)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(max(machine.due, self._now() + 0.001), self._tick)
+
+    def _tick(self) -> None:
+        self.machine.tick(self._now())
+        self._turn()
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(task, None)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            self._log.error("a call to another machine failed", exc_info=fault)
+
+    async def _carry(self, call: Call) -> None:
+        method, path, body = "POST", b"", b""
+        kind: type[Answer] | None
+        if isinstance(call.body, Asked):
+            method, kind = "GET", Snapshot if call.body.snapshot else Log
+            path = b"/configuration/log?from=%d" % call.body.since
+            if call.body.snapshot:
+                path = b"/configuration/snapshot?version=%d&page=%d" % (call.body.since, call.body.page)
+        else:
+            path, kind = PATHS[type(call.body)]
+            body = encode(call.body)
+        answer: Any = None
+        try:
+            said = await calls.call(self._loop, self._places[call.to], method, path, body, call.limit)
+            if said.status == 200 and kind is not None:
+                answer = decode(said.body, kind, LONGEST)
+        except (calls.Failed, Malformed, TimeoutError):
+            pass  # as if it had not answered: the rules ask again
+        self.machine.answered(call, answer, self._now())
+        self._turn()
+
+    # Callers
+
+    def _met(self, caller: Caller) -> None:
+        if len(self._callers) >= self._settings.bounds.connections:
+            text = encode(Refusal("overloaded", "too many connections: raise bounds.connections"))
+            caller.write(writing.answer(503, FIELDS, text, False))
+            caller.close()
+            return
+        self._callers[caller] = self._now()
+        caller.lost.append(lambda: self._left(caller))
+
+    def _left(self, caller: Caller) -> None:
+        self._callers.pop(caller, None)
+        self._watchers.pop(caller, None)
+        self._pending.pop(caller, None)
+
+    def _heard(self, caller: Caller, ask: Ask) -> None:
+        if caller not in self._callers:
+            return
+        self._callers[caller] = self._now()
+        if caller in self._watchers or caller in self._pending:
+            caller.close()  # one at a time: a second request would be answered in the wrong place
+            return
+        split = urlsplit(ask.target.decode("latin-1"))
+        query = {name: some[0] for name, some in parse_qs(split.query).items()}
+        name = split.path.removeprefix("/configuration").removeprefix("/")
+        status = 200
+        try:
+            if not split.path.startswith("/configuration"):
+                raise Refused(Refusal("malformed", f"no call {split.path[:80]}"), 404)
+            if ask.method == "GET" and name == "watch":
+                self._watch(caller, query)
+                return
+            if ask.method == "POST" and name == "":
+                self._propose(caller, ask)
+                return
+            body = encode(self._call(ask, name, query))
+        except Refused as fault:
+            status, body = fault.status, encode(fault.refusal)
+        except (Malformed, Unfit) as fault:
+            status, body = 400, encode(Refusal("malformed", str(fault)))
+        except StoreFault as fault:
+            status, body = 503, encode(Refusal("abstains", f"{fault}; {fault.remedy}"))
+        except Gone as fault:
+            status, body = 410, encode(Refusal("stale", str(fault)))
+        self._answer(caller, ask, status, body)
+        self._turn()
+
+    def _call(self, ask: Ask, name: str, query: dict[str, str]) -> msgspec.Struct:
+        if ask.method == "GET" and name in self._gets:
+            return self._gets[name](query)
+        if ask.method == "POST" and name in self._posts:
+            return self._posts[name](ask.body)
+        raise Refused(Refusal("malformed", f"no call {ask.method} /configuration/{name[:80]}"), 404)
+
+    def _answer(self, caller: Caller, ask: Ask, status: int, body: bytes) -> None:
+        caller.write(writing.answer(status, FIELDS, body, ask.keep))
+        if not ask.keep:
+            caller.close()
+
+    # Operators
+
+    def _propose(self, caller: Caller, ask: Ask) -> None:
+        if len(self._pending) >= WAITING:
+            raise Refused(Refusal("overloaded", f"{WAITING} calls wait already: ask again in a while"))
+        found = self.machine.propose(self._read(ask.body, Proposal), self._now())
+        if isinstance(found, Refusal):
+            self._proposed(caller, ask, found)
+        else:
+            self._pending[caller] = found, ask
+        self._turn()
+
+    def _proposed(self, caller: Caller, ask: Ask, result: Accepted | Refusal) -> None:
+        status = 200 if isinstance(result, Accepted) else STATUS[result.why]
+        if isinstance(result, Accepted):
+            self._log.info("change made", version=result.version)
+        self._answer(caller, ask, status, encode(result))
+
+    def status(self) -> Status:
+        machine, now = self.machine, self._now()
+        holding, here = machine.holding, self._settings.here
+        peers = list[Peer]()
+        for row in self._settings.machines:
+            if (seen := machine.seen.get(row.number)) is not None:
+                age = None if seen.sent is None else max(0.0, (now - seen.sent) * 1000)
+                peers.append(
+                    Peer(row.number, row.address, row.zone, row.region, row.voter, seen.head, age, seen.empty)
+                )
+        return Status(
+            here.number, here.zone, here.region, here.voter, holding.history, holding.head,
+            holding.document.digest, max(0.0, (now - machine.heard) * 1000), len(holding.document.entries),
+            here.voter and not machine.votes, machine.fault, machine.waiting, peers,
+            holding.source.followers(now),
+        )  # fmt: skip
+
+    # Machines
+
+    def _decided(self, body: bytes) -> msgspec.Struct:
+        self.machine.asked_decided(self._read(body, Decided), self._now())
+        return self.machine.sign()
+
+    def _snapshot(self, query: dict[str, str]) -> msgspec.Struct:
+        version, page = _whole(query, "version"), _whole(query, "page")
+        if page >= PAGES:
+            raise Malformed(f"page: {page}, of {PAGES}")
+        found = self.machine.holding.snapshot(version, page, self._now())
+        if found is None:
+            raise Gone(f"no snapshot of version {version}")
+        return found
+
+    # Relays: what they are told is source.py's
+
+    def _source(self) -> Any:
+        holding = self.machine.holding
+        if not holding.head:
+            raise Refused(Refusal("abstains", "this machine holds nothing yet: ask another"))
+        holding.source.heard = self.machine.heard
+        return holding.source
+
+    def _applied(self, body: bytes) -> msgspec.Struct:
+        told = self._read(body, Applied)
+        self.machine.holding.source.applied(told, self._now())
+        return Accepted(told.version)
+
+    def _watch(self, caller: Caller, query: dict[str, str]) -> None:
+        position = self._source().position(_whole(query, "from"), query.get("digest", ""))
+        caller.write(STREAM)
+        self._watchers[caller] = Watcher(position, -1e9)
+        self._tell(self._now() - SIGN + PERIOD)
+
+    def _tell(self, before: float) -> None:
+        """Writes to each watcher that was told last before then, or lacks a change."""
+        if not self._watchers:
+            return
+        source, now, most = self._source(), self._now(), self._settings.bounds.unsent_bytes
+        lines = dict[int | None, tuple[bytes, int | None]]()
+        head = self.machine.holding.head
+        for caller, watcher in list(self._watchers.items()):
+            while caller.transport is not None:
+                lacks = watcher.position is not None and watcher.position < head
+                if not lacks and watcher.told > before:
+                    break
+                if caller.transport.get_write_buffer_size() > most:
+                    # Guards against memory that fills with lines for one that does not read.
+                    caller.reset()
+                    break
+                if watcher.position not in lines:
+                    line, after = source.line(watcher.position, now)
+                    lines[watcher.position] = chunk(encode(line) + b"\n"), after
+                data, after = lines[watcher.position]
+                caller.write(data)
+                watcher.position, watcher.told = after, now
+
+
+def _whole(query: dict[str, str], name: str) -> int:
+    text = query.get(name, "")
+    if not text.isdecimal() or len(text) > 15:
+        raise Malformed(f"{name}: {text[:40]!r}; must be a whole number")
+    return int(text)
+
+
+def _numbers(query: dict[str, str]) -> list[int]:
+    parts = query.get("numbers", "").split(",")
+    return [_whole({"numbers": part}, "numbers") for part in parts]
+
+
+def run(settings: Settings) -> None:
+    """Serves until SIGTERM or SIGINT. The line `ready HOST:PORT` on standard output says that it listens."""
+    log = logger(settings.log).bind(machine=settings.machine)
+    try:
+        store = Store(settings.store, log=settings.bounds.log_changes)
+    except StoreFault as fault:
+        print(f"lanelead: {fault}; {fault.remedy}", file=sys.stderr)
+        raise SystemExit(2) from None
+
+    async def serve() -> None:
+        over, loop = asyncio.Event(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, over.set)
+        try:
+            service = Service(settings, store, log, Random(SystemRandom().getrandbits(64)))
+            await service.open()
+        except StoreFault as fault:
+            print(f"lanelead: {fault}; {fault.remedy}", file=sys.stderr)
+            raise SystemExit(2) from None
+        except OSError as fault:
+            print(f"lanelead: cannot listen: {fault}", file=sys.stderr)
+            raise SystemExit(2) from None
+        sys.stdout.write(f"ready {settings.listen or settings.here.address}\n")
+        sys.stdout.flush()
+        await over.wait()
+        await service.close()
+
+    uvloop.run(serve())
--- /dev/null
+++ b/lanelead/configuration/settings.py
@@ -0,0 +1,149 @@
+"""The settings of a machine: a JSON file, the same on all machines but for `machine` and `store`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import Meta
+
+from lanelead.protocols.platform import address
+from lanelead.protocols.records import Malformed
+from lanelead.settings.records import Address
+
+LONGEST = 1 << 20  # bytes of the file
+Number = Annotated[int, Meta(ge=0, le=63)]
+Place = Annotated[str, Meta(max_length=64)]
+Text = Annotated[str, Meta(min_length=1, max_length=1024)]
+
+
+class Unfit(Exception):
+    """Nothing of the file is used; `faults` names each field that is wrong, and what is expected of it."""
+
+    def __init__(self, file: str, faults: list[str]) -> None:
+        super().__init__("\n".join(f"{file}: {fault}" for fault in faults))
+        self.faults = faults
+
+
+class MachineAt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    number: Number
+    address: Text
+    zone: Place = ""
+    region: Place = ""
+    voter: bool = True
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`connections` at a time, each with at most `request_bytes` coming in and `unsent_bytes` going out."""
+
+    connections: Annotated[int, Meta(ge=16, le=100_000)] = 2048
+    request_bytes: Annotated[int, Meta(ge=1 << 19, le=16 << 20)] = 1 << 20
+    unsent_bytes: Annotated[int, Meta(ge=1 << 19, le=64 << 20)] = 2 << 20
+    entries: Annotated[int, Meta(ge=1, le=2_000_000)] = 200_000
+    document_bytes: Annotated[int, Meta(ge=1024, le=128 << 20)] = 64 << 20
+    log_changes: Annotated[int, Meta(ge=1, le=1_000_000)] = 20_000
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`listen`: where this machine listens, if not at the address that the others call."""
+
+    machine: Number
+    store: Text
+    machines: Annotated[list[MachineAt], Meta(min_length=1, max_length=64)]
+    listen: str = ""
+    bounds: Bounds = Bounds()
+    log: Literal["json", "console"] = "json"
+
+    @property
+    def voters(self) -> list[int]:
+        return [row.number for row in self.machines if row.voter]
+
+    @property
+    def here(self) -> MachineAt:
+        return next(row for row in self.machines if row.number == self.machine)
+
+
+def read(file: str | Path) -> Settings:
+    """Raises Unfit, with all that is wrong."""
+    name = str(file)
+    try:
+        text = Path(file).read_bytes()
+    except OSError as fault:
+        raise Unfit(name, [f"cannot be read: {fault.strerror}"]) from None
+    if len(text) > LONGEST:
+        raise Unfit(name, [f"{len(text)} bytes; expected {LONGEST} at most"])
+    try:
+        found = msgspec.json.decode(text)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        raise Unfit(name, [f"no JSON: {str(fault)[:200]}"]) from None
+    faults = list[str]()
+    _faults(found, Settings, "", faults)
+    if faults:
+        raise Unfit(name, faults)
+    settings = msgspec.convert(found, Settings)
+    if faults := _together(settings):
+        raise Unfit(name, faults)
+    return settings
+
+
+def _faults(found: Any, kind: Any, at: str, faults: list[str]) -> None:
+    """Field by field: a decoder of the whole names but the first that is wrong."""
+    bare = get_args(kind)[0] if get_origin(kind) is Annotated else kind
+    of = get_args(bare)[0] if get_origin(bare) is list else None
+    if isinstance(found, dict) and isinstance(bare, type) and issubclass(bare, msgspec.Struct):
+        kinds = get_type_hints(bare, include_extras=True)
+        for field in msgspec.structs.fields(bare):
+            path = f"{at}.{field.name}" if at else field.name
+            if field.name in found:
+                _faults(found[field.name], kinds[field.name], path, faults)
+            elif field.required:
+                faults.append(f"{path}: missing")
+        faults += [f"{at}.{key}".lstrip(".")[:200] + ": no such field" for key in found if key not in kinds]
+    elif isinstance(found, list) and of is not None and issubclass(of, msgspec.Struct) and len(found) <= 64:
+        for place, row in enumerate(found):
+            _faults(row, of, f"{at}[{place}]", faults)
+        if not found:
+            faults.append(f"{at}: empty; expected one at least")
+    else:
+        try:
+            msgspec.convert(found, kind)
+        except msgspec.ValidationError as fault:
+            faults.append(f"{at or 'the file'}: {fault}")
+
+
+def _together(settings: Settings) -> list[str]:
+    """What no field can say alone."""
+    faults = list[str]()
+    rows = settings.machines
+    for place, row in enumerate(rows):
+        if row.number in [other.number for other in rows[:place]]:
+            faults.append(f"machines[{place}].number: {row.number} again; expected a number used once")
+        if row.address in [other.address for other in rows[:place]]:
+            faults.append(f"machines[{place}].address: {row.address} again; expected one used once")
+        faults += _address(f"machines[{place}].address", row.address)
+    if settings.listen:
+        faults += _address("listen", settings.listen)
+    if settings.machine not in [row.number for row in rows]:
+        faults.append(f"machine: {settings.machine}; expected the number of one of the machines")
+    if not settings.voters:
+        faults.append("machines: no voter; expected three, five or seven")
+    elif len(settings.voters) % 2 == 0:
+        faults.append(
+            f"machines: {len(settings.voters)} voters; expected an odd number, as one more bears no loss more"
+        )
+    if not Path(settings.store).resolve().parent.is_dir():
+        faults.append(f"store: {settings.store}: no such folder")
+    return faults
+
+
+def _address(name: str, text: str) -> list[str]:
+    try:
+        address(text)
+    except Malformed:
+        return [f"{name}: {text[:80]!r}; expected HOST:PORT"]
+    return []
+
+
+def place(text: str) -> Address:
+    return Address(*address(text))
--- a/lanelead/http/serving.py
+++ b/lanelead/http/serving.py
@@ -13,10 +13,13 @@
     """One connection. Requests come one at a time; `heard` is called with each."""
 
     def __init__(
-        self, heard: Callable[[Caller, Ask], None], met: Callable[[Caller], None] | None = None
+        self,
+        heard: Callable[[Caller, Ask], None],
+        met: Callable[[Caller], None] | None = None,
+        body_bytes: int = 64 << 20,
     ) -> None:
         self._heard, self._met = heard, met
-        self._reader = AskReader(65536, 64 << 20)
+        self._reader = AskReader(65536, body_bytes)
         self.transport: asyncio.Transport | None = None
         self.lost: list[Callable[[], None]] = []
         self.heard_at = 0.0  # when the last request came
--- a/lanelead/protocols/machines.py
+++ b/lanelead/protocols/machines.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta
 
-from lanelead.protocols.configuration import FORM, Change, Digest, Entry, Ident
+from lanelead.protocols.configuration import FORM, Applied, Change, Digest, Entry, Ident
 from lanelead.protocols.records import Positive, Whole
 
 PAGES = 16  # of a snapshot, each with as many buckets
@@ -56,15 +56,6 @@
     empty: bool = False
 
 
-class Followers(msgspec.Struct, frozen=True):
-    """Relays of one zone that follow by this machine and have told that they have this version in force."""
-
-    zone: str
-    version: Whole
-    relays: Whole
-    refusing: Whole = 0  # of them, those that could not take some key
-
-
 class Status(msgspec.Struct, frozen=True):
     machine: Whole
     zone: str
@@ -79,5 +70,5 @@
     fault: str  # of its store; empty: none
     proposals: Whole  # waiting
     peers: list[Peer]
-    followers: list[Followers] = []
+    relays: list[Applied] = []  # that follow by this machine, as they last told
     form: int = FORM
