--- a/tests/machines.py
+++ b/tests/machines.py
@@ -72,6 +72,7 @@
     decided: dict[int, tuple[str, str]] = field(default_factory=dict)  # version to ident and digest
     answers: dict[str, Accepted | Refusal] = field(default_factory=dict)
     notes: list[tuple[int, str, str]] = field(default_factory=list)
+    dropped: Callable[[Call], bool] = lambda call: False  # a fault by hand
 
     def __post_init__(self) -> None:
         self.chance = Random(f"machines {self.seed}")
@@ -193,7 +194,7 @@
                 for when in self._passes(call.to, number):
                     self.at(when, lambda: ended(answer))
 
-        for when in self._passes(number, call.to):
+        for when in self._passes(number, call.to) if not self.dropped(call) else ():
             self.at(when, arrived)
         self.at(self.now + call.limit, lambda: ended(None))
 
@@ -279,6 +280,11 @@
     def up(self) -> list[Machine]:
         return [machine for machine in self.machines.values() if machine is not None]
 
+    def alive(self, number: int) -> Machine:
+        machine = self.machines[number]
+        assert machine is not None
+        return machine
+
     def agreed(self) -> bool:
         """Do all run, and hold the same?"""
         found = self.up()
