A late answer for an earlier version counts no more; what was accepted and not decided is finished

Found by processes: ballots begin anew with each version, and an answer of the version before, at the same ballot, was taken for one of this: a promise that nobody gave (and 0.66 s for a change where 0.02 s is enough). A proposer killed behind its answer left its change accepted and unknown to all until the next proposal: a voter now finishes it for that version alone after 0.75 to 1.5 s.

--- a/lanelead/configuration/agreement.py
+++ b/lanelead/configuration/agreement.py
@@ -12,7 +12,7 @@
  6. Promise and vote are on disk before they are said; what could not be kept is not said.
  7. A voter that lost its disk abstains below the version from which it may vote (machine.py says which).
  8. It accepts no change that does not fit what it holds: another digest, or an ident that was made.
- 9. An answer is one of this ballot, or it is not counted; each voter counts once.
+ 9. An answer is one to this version and ballot, or it is not counted; each voter counts once.
 10. A proposal's change may be made from when it was first sent to be accepted until its version is decided
     otherwise: an end in between is `unknown`, any other says that nothing was changed.
 11. Tries are bounded, each waits longer, with a random part: proposers that meet don't meet for ever.
@@ -118,7 +118,8 @@
 
 class Proposer:
     """One proposal. `asks` fills with what is to be sent to which voter; `result` ends it. `decided` has a
-    change that its machine has to learn and tell; call `step` then, and when time passes."""
+    change that its machine has to learn and tell; call `step` then, and when time passes. `finishes`: a
+    change that was accepted before; it is brought to its end for its own version, and made for no other."""
 
     def __init__(
         self,
@@ -128,7 +129,9 @@
         holder: Holder,
         chance: Random,
         now: float,
+        finishes: Change | None = None,
     ) -> None:
+        self.finishes = finishes
         self._number, self._voters, self.proposal = number, voters, proposal
         self._holder, self._chance = holder, chance
         self._many = len(voters) // 2 + 1
@@ -161,10 +164,12 @@
             return
         if self._version != self._holder.head + 1:
             self._version, self._tries, self._number_seen = self._holder.head + 1, 0, 0
-            self._ballot, self._idle, self._next = NONE, True, now
+            self._ballot, self._change, self._idle, self._next = NONE, None, True, now
             if self._maybe is not None and self._maybe <= self._holder.head:
                 self._maybe = None  # decided, and `made` says whether as ours
         self.result = self._holder.made(self.proposal)
+        if self.result is None and self.finishes is not None and self.finishes.version != self._version:
+            self.result = Refusal("stale", f"version {self.finishes.version} was decided otherwise")
         if self.result is not None:
             return
         if now >= self._ends or (now >= self._next and self._tries >= TRIES):
@@ -177,7 +182,7 @@
 
     def _begin(self, now: float) -> None:
         # Guards against a proposal that can't be made at all: it is refused before anybody is asked.
-        fit = self._holder.change(self.proposal)
+        fit = self.finishes or self._holder.change(self.proposal)
         if isinstance(fit, Refusal) and self._maybe is None:
             self.result = fit
             return
@@ -205,10 +210,13 @@
 
     def promised(self, voter: int, ask: Prepare, promise: Promise, now: float) -> None:
         self._heard(voter, promise.word, promise.ballot, ask.version)
-        if ask.ballot != self._ballot or self._idle or self._change is not None:
+        # Ballots begin anew with each version: the same one of an earlier version is another question.
+        if (ask.version, ask.ballot) != (self._version, self._ballot) or self._change is not None:
             return
         self._promises.setdefault(voter, promise)
         given = [said for said in self._promises.values() if said.word == "promised"]
+        if self._holder.head + 1 != self._version:
+            return  # it is decided, and `step` will say so
         if len(given) >= self._many:
             self._go_on(given, now)
         elif len(self._voters) - len(self._promises) + len(given) < self._many:
@@ -219,7 +227,7 @@
         if found:
             change = max(found, key=lambda said: said.accepted or NONE).change
         else:
-            own = self._holder.change(self.proposal)
+            own = self.finishes or self._holder.change(self.proposal)
             if isinstance(own, Refusal):
                 self._pause(now)  # and `_begin` says so, where nothing of it is on its way
                 return
@@ -233,7 +241,7 @@
 
     def voted(self, voter: int, ask: Accept, vote: Vote, now: float) -> None:
         self._heard(voter, vote.word, vote.ballot, ask.change.version)
-        if ask.ballot != self._ballot or self._idle or self._change is None:
+        if (ask.change.version, ask.ballot) != (self._version, self._ballot) or self._change is None:
             return
         self._votes.setdefault(voter, vote)
         given = sum(said.word == "accepted" for said in self._votes.values())
--- /dev/null
+++ b/lanelead/configuration/letters.py
@@ -0,0 +1,45 @@
+"""What a machine sends, and what it knows of each of the others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lanelead.configuration.agreement import LONGEST, Proposer
+from lanelead.protocols.configuration import Accept, Prepare, Sign
+from lanelead.protocols.machines import Decided, Snapshot
+
+NEVER = -1e6  # seconds before its start
+
+
+@dataclass(frozen=True)
+class Asked:
+    """Changes from a version on, or a page of a snapshot."""
+
+    since: int
+    snapshot: bool = False
+    page: int = 0
+
+
+@dataclass(frozen=True, eq=False)
+class Call:
+    to: int
+    body: Prepare | Accept | Decided | Sign | Asked
+    sent: float
+    proposer: Proposer | None = None
+    limit: float = LONGEST  # seconds to wait for an answer
+
+
+@dataclass
+class Seen:
+    """Another machine, as its last answer had it."""
+
+    out: int = 0
+    sent: float | None = None  # when the sign was sent that was answered last
+    held: float | None = None  # the same, where its head was not above one's own
+    head: int = 0
+    empty: bool = False
+    ready: bool = False
+    history: str = ""
+    strange: str = ""  # why it is left alone
+    fetching: float = NEVER  # until when its answer is waited for
+    pages: list[Snapshot] = field(default_factory=list)
--- a/lanelead/configuration/machine.py
+++ b/lanelead/configuration/machine.py
@@ -14,7 +14,9 @@
     empty where somebody votes is not part of a first start: rule 4.
  6. Nothing is proposed for version 1 but by a voter that votes: else rule 5 could miss a vote.
  7. One proposal at a time, the others wait, a bounded number of them. What is decided is told to all.
- 8. `heard`: when a majority of voters, with itself, last had no higher head than its own.
+ 8. A change that a voter has accepted and that is not decided a while later is finished by that voter, for
+    this version only: its proposer may have ended behind its answer and before a word to the others.
+ 9. `heard`: when a majority of voters, with itself, last had no higher head than its own.
 
 What is to be sent is in `calls`; whoever carries them tells `answered`, with none where no answer came.
 """
@@ -24,11 +26,11 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from random import Random
 
 from lanelead.configuration.agreement import LONGEST, Proposer, Unfit
 from lanelead.configuration.holding import Holding, Strange
+from lanelead.configuration.letters import NEVER, Asked, Call, Seen
 from lanelead.configuration.store import StoreFault
 from lanelead.protocols.configuration import (
     Accept,
@@ -47,41 +49,8 @@
 OUT = 12  # signs to one machine without an answer yet, at the most
 FETCHES = 3  # machines that are asked for changes at a time
 QUEUE = 64  # proposals
-NEVER = -1e6  # seconds before its start
-
-
-@dataclass(frozen=True)
-class Asked:
-    """Changes from a version on, or a page of a snapshot."""
-
-    since: int
-    snapshot: bool = False
-    page: int = 0
-
-
-@dataclass(frozen=True, eq=False)
-class Call:
-    to: int
-    body: Prepare | Accept | Decided | Sign | Asked
-    sent: float
-    proposer: Proposer | None = None
-    limit: float = LONGEST  # seconds to wait for an answer
-
-
-@dataclass
-class Seen:
-    """Another machine, as its last answer had it."""
-
-    out: int = 0
-    sent: float | None = None  # when the sign was sent that was answered last
-    held: float | None = None  # the same, where its head was not above one's own
-    head: int = 0
-    empty: bool = False
-    ready: bool = False
-    history: str = ""
-    strange: str = ""  # why it is left alone
-    fetching: float = NEVER  # until when its answer is waited for
-    pages: list[Snapshot] = field(default_factory=list)
+FINISH = 0.75  # seconds until a change that was accepted here and not decided is finished, at least
+FINISH_LONGEST = 24.0  # the same for later tries
 
 
 class Machine:
@@ -106,6 +75,10 @@
         self._waiting: deque[Proposer] = deque()
         self._next_sign = now
         self._now = now
+        self._accepted: tuple[int, float] | None = (
+            None  # version, and when to finish what was accepted for it
+        )
+        self._finishing = FINISH
         self._stand()
 
     @property
@@ -140,8 +113,27 @@
                 if seen.out < OUT:
                     seen.out += 1
                     self.calls.append(Call(other, self.sign(), now))
+        self._finish(now)
         self._pump(now)
 
+    def _finish(self, now: float) -> None:
+        """Rule 8. Voters wait for times that differ, and longer each time: they would hinder each other."""
+        acceptor = self.holding.acceptor
+        if acceptor.change is None or acceptor.abstains:
+            self._accepted, self._finishing = None, FINISH
+            return
+        if self._accepted is None or self._accepted[0] != acceptor.change.version:
+            self._finishing = FINISH
+            self._accepted = acceptor.change.version, now + FINISH * (1 + self._chance.random())
+        elif now >= self._accepted[1] and not self._waiting:
+            self._finishing = min(FINISH_LONGEST, self._finishing * 2)
+            self._accepted = self._accepted[0], now + self._finishing * (1 + self._chance.random())
+            change = acceptor.change
+            what = Proposal(change.ident, change.entries)
+            self._waiting.append(
+                Proposer(self.number, self.voters, what, self.holding, self._chance, now, change)
+            )
+
     def sign(self) -> Sign:
         holding = self.holding
         empty = self.number in self.voters and holding.acceptor.abstains
@@ -197,6 +189,8 @@
         if self.holding.head == 0 and not self.votes:
             return Refusal("abstains", "this machine holds nothing yet: ask another, or again in a while")
         proposer = Proposer(self.number, self.voters, proposal, self.holding, self._chance, now)
+        if self._waiting and self._waiting[0].finishes is not None:
+            self._waiting.popleft()  # any other one finishes that too, and first
         self._waiting.append(proposer)
         self._pump(now)
         return proposer
--- a/lanelead/configuration/service.py
+++ b/lanelead/configuration/service.py
@@ -28,7 +28,8 @@
 from lanelead.configuration.agreement import Proposer, Unfit
 from lanelead.configuration.document import Document
 from lanelead.configuration.holding import Holding
-from lanelead.configuration.machine import Asked, Call, Machine
+from lanelead.configuration.letters import Asked, Call
+from lanelead.configuration.machine import Machine
 from lanelead.configuration.settings import Settings, place
 from lanelead.configuration.source import SIGN, Gone
 from lanelead.configuration.store import Store, StoreFault
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -17,7 +17,8 @@
 from lanelead.configuration.agreement import Proposer, Unfit
 from lanelead.configuration.document import Document
 from lanelead.configuration.holding import Holding
-from lanelead.configuration.machine import Asked, Call, Machine
+from lanelead.configuration.letters import Asked, Call
+from lanelead.configuration.machine import Machine
 from lanelead.configuration.store import Store, StoreFault
 from lanelead.protocols.configuration import Accept, Accepted, Entry, Prepare, Proposal, Refusal, Sign
 from lanelead.protocols.machines import Decided
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -6,7 +6,8 @@
 from collections.abc import Sequence
 
 from lanelead.configuration.agreement import Proposer
-from lanelead.configuration.machine import QUEUE, Asked, Call, Machine
+from lanelead.configuration.letters import Asked, Call
+from lanelead.configuration.machine import QUEUE, Machine
 from lanelead.protocols.configuration import (
     Accept,
     Accepted,
@@ -314,6 +315,35 @@
         self.assertTrue(world.run(3, world.agreed))
         self.assertEqual(7, makes(world, 7, "together").version)
 
+    def test_a_proposer_that_ends_behind_its_answer_leaves_no_change_unfinished(self) -> None:
+        """Its answer went out, and no word to the others: they have accepted it and are to find out."""
+        world = started(5)
+        world.dropped = lambda call: isinstance(call.body, Decided)
+        world.propose(0, proposal("change-1"))
+        self.assertTrue(world.answered("change-1", 1))
+        self.assertEqual(Accepted(1), world.answers["change-1"])
+        world.kill(0)
+        world.dropped = lambda call: False
+        self.assertTrue(world.run(2.5, lambda: all(machine.holding.head == 1 for machine in world.up())))
+
+    def test_a_change_is_finished_for_its_own_version_and_made_for_no_other(self) -> None:
+        """Its proposer may have told that nothing was changed once the version was decided otherwise."""
+        world = started(5)
+        world.dropped = lambda call: isinstance(call.body, Accept) and call.to != 1
+        world.propose(0, proposal("the-first"))
+        world.run(0.1)
+        accepted = world.alive(1).holding.acceptor.change
+        assert accepted is not None
+        world.kill(0)
+        world.cut([1], [2, 3, 4])
+        world.dropped = lambda call: False
+        makes(world, 2, "the-second")
+        world.run(10)
+        world.heal()
+        self.assertTrue(world.run(30, lambda: all(machine.holding.head == 1 for machine in world.up())))
+        world.run(60)
+        self.assertEqual([(1, "the-second")], [(version, made[0]) for version, made in world.decided.items()])
+
     def test_the_same_ident_at_two_machines_is_one_change(self) -> None:
         world = started(5)
         for number in (0, 3):
