--- a/lanelead/configuration/commands.py
+++ b/lanelead/configuration/commands.py
@@ -75,6 +75,8 @@
                 status, body = await ask(each, "POST", b"/configuration", encode(proposal), min(LIMIT, left))
                 if status == 200:
                     return decode(body, Accepted)
+                if status in (413, 431):  # what any server says of a request that is too large
+                    return Refusal("malformed", f"{body.decode('utf-8', 'replace')[:200]}: split the change")
                 found = decode(body, Refusal)
             except Failed as fault:  # it may have been heard all the same
                 found = Refusal("unknown", f"{each}: {fault}")
@@ -179,7 +181,7 @@
         proposal = Proposal(ident or f"p-{secrets.token_hex(12)}", entries, _expected(expect))
         decode(encode(proposal), Proposal, LONGEST)
     except Malformed as fault:
-        click.echo(f"{file.name}: {fault}", err=True)
+        click.echo(str(fault), err=True)
         sys.exit(REFUSED)
     sys.exit(asyncio.run(_publish(where, proposal, patience, in_force)))
 
--- a/lanelead/configuration/service.py
+++ b/lanelead/configuration/service.py
@@ -57,14 +57,13 @@
 LONGEST = 16 << 20  # bytes of another machine's answer
 PERIOD = 0.1  # seconds between two looks at who has to be told that this machine lives
 IDLE = 60.0  # seconds without a request after which a connection is closed
+LINGER = 2.0  # seconds for which one whose request was refused may still send
 WAITING = 256  # operators' calls that are not answered yet
 Answer = Promise | Vote | Sign | Log | Snapshot
 PATHS: dict[type, tuple[bytes, type[Answer] | None]] = {
-    Prepare: (b"/configuration/prepare", Promise),
-    Accept: (b"/configuration/accept", Vote),
-    Sign: (b"/configuration/sign", Sign),
-    Decided: (b"/configuration/decided", None),
-}
+    Prepare: (b"prepare", Promise), Accept: (b"accept", Vote),
+    Sign: (b"sign", Sign), Decided: (b"decided", None),
+}  # fmt: skip
 
 
 class Refused(Exception):
@@ -127,9 +126,11 @@
     async def open(self) -> None:
         where = place(self._settings.listen or self._settings.here.address)
         bounds = self._settings.bounds
-        self._server = await self._loop.create_server(
-            lambda: Caller(self._heard, self._met, bounds.request_bytes), where.host, where.port, backlog=1024
-        )
+
+        def caller() -> Caller:
+            return Caller(self._heard, self._met, bounds.request_bytes, LINGER)
+
+        self._server = await self._loop.create_server(caller, where.host, where.port, backlog=1024)
         self._beat()
         self._turn()
 
@@ -189,8 +190,8 @@
             if call.body.snapshot:
                 path = b"/configuration/snapshot?version=%d&page=%d" % (call.body.since, call.body.page)
         else:
-            path, kind = PATHS[type(call.body)]
-            body = encode(call.body)
+            name, kind = PATHS[type(call.body)]
+            path, body = b"/configuration/" + name, encode(call.body)
         answer: Any = None
         try:
             said = await calls.call(self._loop, self._places[call.to], method, path, body, call.limit)
--- a/lanelead/http/serving.py
+++ b/lanelead/http/serving.py
@@ -10,14 +10,18 @@
 
 
 class Caller(asyncio.Protocol):
-    """One connection. Requests come one at a time; `heard` is called with each."""
+    """One connection. Requests come one at a time; `heard` is called with each. `linger`: seconds for which
+    a connection that was refused is still read from, and nothing of it used: closed at once, it would be
+    reset and the refusal lost where the other end still writes."""
 
     def __init__(
         self,
         heard: Callable[[Caller, Ask], None],
         met: Callable[[Caller], None] | None = None,
         body_bytes: int = 64 << 20,
+        linger: float = 0.0,
     ) -> None:
+        self._linger, self._refused = linger, False
         self._heard, self._met = heard, met
         self._reader = AskReader(65536, body_bytes)
         self.transport: asyncio.Transport | None = None
@@ -32,6 +36,8 @@
             self._met(self)
 
     def data_received(self, data: bytes) -> None:
+        if self._refused:
+            return
         for event in self._reader.feed(data):
             match event:
                 case Ask():
@@ -40,7 +46,11 @@
                     self.write(writing.CONTINUE)
                 case Refusal(status, reason):
                     self.write(writing.answer(status, (), reason.encode(), keep=False))
-                    self.close()
+                    self._refused = True
+                    if self._linger:
+                        asyncio.get_running_loop().call_later(self._linger, self.close)
+                    else:
+                        self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
