--- a/lanelead/decisions/servers.py
+++ b/lanelead/decisions/servers.py
@@ -7,8 +7,8 @@
 from random import Random
 
 from lanelead.decisions.interface import (
-    LOADS, Answered, Condition, Coverage, Duties, Lane, Listing, Load, Pace, Sighting, Ticks, Trip, Unit,
-    Word,
+    LOADS, Answered, Condition, Coverage, Duties, Lane, Least, Listing, Load, Out, Pace, Sighting, Ticks,
+    Trip, Unit, Word,
 )
 from lanelead.decisions.sums import Fading
 
@@ -20,10 +20,16 @@
         self.listed, self.aside = 0, 0  # when it was, and until when it is set aside
         self.trips, self.strikes, self.pace = Fading(span), Fading(span), Fading(span)
         self.done, self.cold_sends = Fading(done_span), deque[Ticks]()
-        self.lot = lot  # rounds its cold budget, up or down
+        self.lot = lot  # where the row of lots begins that round its cold budget, up or down
         self.mute = False  # the last trip there got no answer
         self.told, self.wait = -1, 0  # when it last answered a probe, and the wait that it told of
 
+    def sent(self, now: Ticks, span: Ticks) -> int:
+        """How many trips set out to it in the last span."""
+        while self.cold_sends and self.cold_sends[0] <= now - span:
+            self.cold_sends.popleft()
+        return len(self.cold_sends)
+
 
 def mine(unit: Unit) -> Server:
     assert isinstance(unit, Server)
@@ -141,15 +147,17 @@
         self._said = busy
         return loads
 
-    def hear(self, peer: int | None, loads: list[Load], now: Ticks) -> None:
+    def hear(self, peer: int | None, said: Sequence[Out], now: Ticks) -> None:
         """All that a peer has out itself; none: all that all have out, this relay's trips among them."""
+        loads = [word for word in said if isinstance(word, Load)]
         if peer is not None:
             self._told[peer] = now, loads
         else:
             self._at, rows = now, ((mine(load.unit), load.trips) for load in loads)
             self._others = {server: trips - len(server.out) for server, trips in rows}
             # A full letter left out units with no more than the least it tells of; they are not idle.
-            self._rest = loads[-1].trips if len(loads) >= LOADS else 0
+            full = loads[-1].trips if len(loads) >= LOADS else 0
+            self._rest = next((word.trips for word in said if isinstance(word, Least)), full)
 
     def add(self, own: Iterable[Load], now: Ticks) -> list[Load]:
         """Adds up what the peers told, and gives what all relays have out with this one's own, most first."""
