--- a/lanelead/configuration/machine.py
+++ b/lanelead/configuration/machine.py
@@ -75,9 +75,8 @@
         self._waiting: deque[Proposer] = deque()
         self._next_sign = now
         self._now = now
-        self._accepted: tuple[int, float] | None = (
-            None  # version, and when to finish what was accepted for it
-        )
+        self._accepted: tuple[int, float] | None = None  # a version, and when it is to be finished
+        self._odd = ""  # what was told last of changes that could not be taken
         self._finishing = FINISH
         self._stand()
 
@@ -293,7 +292,7 @@
         if log.whole:
             self._ask(call.to, seen, Asked(0, True), now)
         elif log.changes and not mine and log.changes[0].ident != log.history:
-            self._told(f"the log of machine {call.to} is not taken", "it does not begin with its history")
+            self._tell_once(f"the log of machine {call.to}", "it does not begin with its history")
         elif self._learn(log.changes) and self.holding.head < log.head:
             self._ask(call.to, seen, Asked(self.holding.head + 1), now)
 
@@ -309,7 +308,7 @@
                 with self._disk():
                     self.holding.install(pages)
             except Strange as fault:
-                self._told(f"the snapshot of machine {call.to} is not taken", str(fault))
+                self._tell_once(f"the snapshot of machine {call.to} is not taken", str(fault))
             except StoreFault:
                 return
             self._caught_up()
@@ -323,12 +322,18 @@
                     self.holding.learn(change)
         except Strange as fault:
             remedy = "start this machine with no file, or with the same bounds as the others"
-            self._told(str(fault), remedy)
+            self._tell_once(str(fault), remedy)
         except StoreFault:
             pass
         self._caught_up()
         return self.holding.head > before
 
+    def _tell_once(self, text: str, remedy: str) -> None:
+        """Guards against a log that fills: what can't be taken is asked for again with each sign."""
+        if text != self._odd:
+            self._told(text, remedy)
+        self._odd = text
+
     def _caught_up(self) -> None:
         for seen in self.seen.values():
             if seen.sent is not None and seen.head <= self.holding.head:
