--- a/benchmarks/slopes/fleet.py
+++ b/benchmarks/slopes/fleet.py
@@ -1,4 +1,4 @@
-"""A hollow fleet: the driver, decisions and letters that `run` uses, many in one process on one virtual clock.
+"""A hollow fleet: driver, decisions and letters that `run` uses, many in one process on one virtual clock.
 
 Hollow are sockets, units, clients and discovery. A relay is woken by what wakes a real one and by nothing
 else: a request, an answer, a letter, a list, its own timer. Processor time is counted around each such event
@@ -56,6 +56,7 @@
     link: float = 0.4  # ms there and back to a unit
     probes: float = 0.08  # prices: of a probe, at which letters are on, and of a handshake
     handshake: float = 0.02
+    peers: bool = True
 
 
 def settings(size: Size, number: int) -> dict[str, Any]:
@@ -72,7 +73,7 @@
         "accounts": [{"name": "m", "quotaPerS": size.rate * size.relays * 1.2, "share": 1.0}],
         "allowed": {
             "attemptsCap": 3, "openCap": 4000, "maxStreams": 1, "mayCancel": True, "probes": True,
-            "peers": True, "secondCopies": False, "retryAfter": True, "maxRetryAfterMs": 2000.0,
+            "peers": size.peers, "secondCopies": False, "retryAfter": True, "maxRetryAfterMs": 2000.0,
             "connectTimeoutMs": 250.0, "connIdleMs": 15000.0,
         },
         "contract": {
@@ -166,7 +167,7 @@
 class Fleet:
     """All events in one heap; `run` takes them up to a time. One seed draws everything."""
 
-    def __init__(self, size: Size, seed: int, rows: Sequence[Row] | None = None) -> None:
+    def __init__(self, size: Size, seed: int, rows: Sequence[Row] | None = None, even: bool = False) -> None:
         self.size, self.seed, self.now = size, seed, EPOCH
         self.chance = Random(f"fleet {seed}")
         self.rows = list(rows) if rows is not None else listing(size.units)
@@ -182,7 +183,7 @@
         self._sigma, self._mu = sqrt(log(cv2)), log(size.answer) - log(cv2) / 2
         whole = size.whole or size.relays
         self.relays = [
-            Hollow(self, number, SHARES[number % 10] if number >= 7 else 1.0)
+            Hollow(self, number, SHARES[number % 10] if number >= 7 and not even else 1.0)
             for number in range(min(whole, size.relays))
         ]
         self.hubs = min(4, size.relays) if size.relays > 8 else size.relays
