--- a/benchmarks/slopes/fleet.py
+++ b/benchmarks/slopes/fleet.py
@@ -24,7 +24,7 @@
 from random import Random
 from typing import Any
 
-from lanelead.decisions.interface import SECOND, Fate, Lookup, Ticks, Trip, Unit, Vote
+from lanelead.decisions.interface import SECOND, Fate, Ticks, Trip, Unit, Vote
 from lanelead.decisions.rules import Relay
 from lanelead.hosting.door import FORM, HEAD, LOAD, ROW
 from lanelead.hosting.opening import Opening, pairs_of
@@ -33,8 +33,9 @@
 from lanelead.relay.driver import Driver, Outcome, Ticket
 from lanelead.relay.timing import EPOCH
 
-ZONES = 8  # two regions with four zones each
+ZONES = 4  # of two regions: zones 0 and 1, 2 and 3
 UDP_HEAD = 28  # bytes of the IPv4 and UDP heads of a datagram; counted nowhere unless said
+CONNECTING: Ticks = 2500  # an attempt at a unit that is silent: the limit for connecting
 LATE: Ticks = 5  # the loop's timers go off so much after their time
 SHARES = (1.0, 0.6, 0.6, 0.6, 0.6, 4.0, 0.6, 0.6, 0.6, 0.8)  # of the mean rate, by relay; their mean is 1
 NEWS = NewsLine(1, 1, "released", 1.0, 60_000)
@@ -127,6 +128,7 @@
     outcomes: Counter[Outcome] = field(default_factory=Counter)
     asked: int = 0
     up: bool = True
+    life: int = 0
     armed: Ticks | None = None
     wakes: int = 0
     waiting: list[Trip] = field(default_factory=list)
@@ -171,7 +173,8 @@
         self.size, self.seed, self.now = size, seed, EPOCH
         self.chance = Random(f"fleet {seed}")
         self.rows = list(rows) if rows is not None else listing(size.units)
-        self.lost: dict[str, None] = {}  # units that answer nothing any more
+        self.reach: Callable[[int, str], bool] = lambda relay, unit: True  # does a relay's attempt get there?
+        self.crowd = 1.0  # times the usual rate
         self.partition: Callable[[int, int], bool] = lambda sender, to: True
         self.watching: Callable[[str, Hollow, Any], None] = lambda kind, relay, what: None
         self.journal = 0  # a running checksum of all events, to compare two runs by
@@ -212,7 +215,8 @@
 
     def start(self, relay: Hollow) -> None:
         """A process' start as far as these modules do it: settings, decisions, driver, list, news."""
-        relay.up, relay.armed = True, None
+        relay.up, relay.armed, relay.life = True, None, relay.life + 1
+        relay.connecting.clear()
         self._count(relay, "start", self._make, relay)
         self._count(relay, "list", relay.driver.listed, Listed("full", 1, 0.0, self.rows), 0)
         self._count(relay, "news", relay.driver.news, NEWS, False, Fate.DONE)
@@ -286,9 +290,10 @@
             relay.asked += 1
             self._request(relay)
         elif kind == "answer":
-            trip, fate = what
+            trip, fate, life = what
             relay.connecting.pop(trip, None)
-            if trip.fate is None:
+            gone = fate is Fate.DONE and not self._reaches(relay, trip)
+            if trip.fate is None and life == relay.life and not gone:
                 self._count(relay, "ended", relay.driver.ended, trip, fate, None, None)
         elif kind == "letter":
             sender, data = what
@@ -313,7 +318,7 @@
         self._count(relay, "take", relay.driver.take, ticket, lane, None, None, 39_000)
 
     def _next_request(self, relay: Hollow) -> None:
-        gap = self.chance.expovariate(self.size.rate * relay.share)
+        gap = self.chance.expovariate(self.size.rate * relay.share * self.crowd)
         self.at(self.now + max(1, int(gap * SECOND)), "request", relay.number)
 
     # Around one event
@@ -346,12 +351,16 @@
         self.watching(kind, relay, goes)
 
     def _set_out(self, relay: Hollow, trip: Trip) -> None:
-        if relay.driver.door.names[trip.unit] in self.lost:
+        if not self._reaches(relay, trip):
             relay.connecting[trip] = None
-            self.at(self.now + 2500, "answer", relay.number, (trip, Fate.UNREACHABLE))
+            self.at(self.now + CONNECTING, "answer", relay.number, (trip, Fate.UNREACHABLE, relay.life))
             return
         took = exp(self._mu + self._sigma * self.chance.gauss(0, 1)) + self.size.link
-        self.at(self.now + max(1, int(took * 10)), "answer", relay.number, (trip, Fate.DONE))
+        self.at(self.now + max(1, int(took * 10)), "answer", relay.number, (trip, Fate.DONE, relay.life))
+
+    def _reaches(self, relay: Hollow, trip: Trip) -> bool:
+        name = relay.driver.door.names.get(trip.unit)
+        return name is not None and self.reach(relay.number, name)
 
     def _told(self, relay: Hollow, to: int, data: bytes) -> None:
         relay.sent["letters"] += 1
@@ -404,10 +413,6 @@
         }  # fmt: skip
 
 
-def lookups(relay: Hollow) -> list[Lookup]:
-    return list(relay.driver.tickets)
-
-
 def _echo(data: bytes, marks: dict[bytes, bytes]) -> bytes:
     """The same letter of other units."""
     payload = bytearray(data[:-2])
--- /dev/null
+++ b/benchmarks/slopes/losses.py
@@ -0,0 +1,190 @@
+"""A zone's relays and units gone at once, and regions that lose each other for an hour.
+
+A zone is a quarter of all. Its units answer nothing from one moment on: what was out there runs into its
+limit, what is sent there into the limit for connecting; its relays stop, and their clients come to others.
+Ten seconds later discovery tells of the loss. Letters say nothing of it to plain relays: each learns alone.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from statistics import fmean
+from typing import Any
+
+from benchmarks.slopes.fleet import ZONES, Fleet, Hollow, Size, listing
+from benchmarks.slopes.series import Series, resident_mb
+from lanelead.decisions.interface import SECOND
+from lanelead.protocols.records import Listed
+
+SIZES, SMALL = ((8, 104), (40, 520), (200, 2600), (600, 7800)), ((8, 104), (40, 520))
+RATE, WHOLE, WARM, TOLD, AFTER = 183.0, 17, 4.0, 10, 13  # `TOLD`: the second that discovery tells
+BIN = SECOND // 4
+APART, APART_RATE, HOUR = 12, 2.0, 3600
+LOOKS = (10, 60, 300, 900, 1800, 3600)
+
+
+@dataclass
+class Watch:
+    """Attempts by quarters of a second: all, and those at lost units."""
+
+    fleet: Fleet
+    lost: dict[str, None]
+    start: int = 0
+    all: Counter[int] = field(default_factory=Counter)
+    vain: Counter[int] = field(default_factory=Counter)
+
+    def seen(self, kind: str, relay: Hollow, goes: Any) -> None:
+        at = (self.fleet.now - self.start) // BIN
+        for trip in goes:
+            self.all[at] += 1
+            self.vain[at] += relay.driver.door.names.get(trip.unit) in self.lost
+
+    def until(self, part: float) -> float | None:
+        """Seconds until attempts at lost units stay below that part of the share they begin with, for a
+        second on; None where that is not seen."""
+        first = sum(self.vain[at] for at in range(2)) / max(1, sum(self.all[at] for at in range(2)))
+        last = max(self.all)
+        for at in range(last - 3):
+            some = range(at, at + 4)
+            if sum(self.vain[n] for n in some) <= part * first * max(1, sum(self.all[n] for n in some)):
+                return at * BIN / SECOND
+        return None
+
+
+def zone_lost(relays: int, units: int) -> dict[tuple[str, str], float]:
+    whole = 0 if relays <= 40 else WHOLE
+    fleet = Fleet(Size(relays, units, RATE, whole=whole), 1)
+    fleet.run(WARM)
+    lost = {row.unit: None for row in fleet.rows if row.zone == "z0"}
+    left = [relay for relay in fleet.relays if relay.number % ZONES]
+    roles = {role: [one for one in some if one in left] for role, some in fleet.roles.items()}
+
+    def seconds(count: int) -> dict[str, list[dict[str, float]]]:
+        rows: dict[str, list[dict[str, float]]] = {role: [] for role in roles}
+        for _ in range(count):
+            fleet.reset()
+            fleet.run(1.0)
+            for role, some in roles.items():
+                rows[role].append({
+                    "cpu": fmean(relay.us() for relay in some) / 1e6,
+                    "list.cpu": fmean(relay.us("list") for relay in some),
+                    "bytes": fmean(relay.sent["bytes"] + relay.came["bytes"] for relay in some),
+                    "asked": fmean(relay.asked for relay in some),
+                })  # fmt: skip
+        return rows
+
+    before = seconds(2)
+    watch = Watch(fleet, lost, fleet.now)
+    fleet.watching = watch.seen
+    fleet.reach = lambda relay, unit: unit not in lost
+    for relay in fleet.relays:
+        if relay not in left:
+            fleet.stop(relay)
+    fleet.crowd = ZONES / (ZONES - 1)
+    gone = [row for row in listing(units, condition="gone") if row.unit in lost]
+    for relay in left:
+        fleet.at(fleet.now + TOLD * SECOND, "list", relay.number, Listed("changes", 2, 0.0, gone))
+    after = seconds(AFTER)
+    table: dict[tuple[str, str], float] = {}
+    for role in roles:
+        for what, unit in (("cpu", "share"), ("bytes", "B/s")):
+            calm, wild = before[role], after[role]
+            table[f"zone.{role}.{what}.before", unit] = fmean(row[what] for row in calm)
+            table[f"zone.{role}.{what}.after", unit] = fmean(row[what] for row in wild[:TOLD])
+            table[f"zone.{role}.{what}.worst", unit] = max(row[what] for row in wild)
+        table[f"zone.{role}.list.cpu", "us"] = sum(row["list.cpu"] for row in after[role])
+    for name, part in (("half", 0.5), ("tenth", 0.1)):
+        if (took := watch.until(part)) is not None:
+            table[f"zone.vain.{name}", "s"] = took
+    for second in (1, 3, 9):
+        some = range(4 * (second - 1), 4 * second)
+        share = sum(watch.vain[at] for at in some) / max(1, sum(watch.all[at] for at in some))
+        table[f"zone.vain.share.{second}", "share"] = share
+    return table
+
+
+def region(number: int) -> int:
+    return number % ZONES // 2
+
+
+def sizes(fleet: Fleet) -> dict[str, float]:
+    """Entries in what one relay keeps, the largest of all relays."""
+
+    def most(count: Any) -> float:
+        return float(max(count(relay) for relay in fleet.relays))
+
+    return {
+        "told": most(lambda relay: len(relay.decisions._out._told)),
+        "others": most(lambda relay: len(relay.decisions._out._others)),
+        "windows": most(lambda relay: len(relay.decisions._scoring.windows.all)),
+        "tickets": most(lambda relay: len(relay.driver.tickets)),
+        "timers": most(lambda relay: len(relay.driver._timers)),
+        "places": most(lambda relay: len(relay.driver.places)),
+    }
+
+
+def apart(hour: int) -> list[Series]:
+    """Regions without letters and without each other's units; discovery goes on to list all."""
+    units = APART * 13
+    fleet = Fleet(Size(APART, units, APART_RATE), 1, even=True)
+    regions = {row.unit: region(int(row.zone[1:])) for row in fleet.rows}
+    fleet.run(10.0)
+    steady: dict[str, dict[str, float]] = {}
+
+    def span(name: str, seconds: float) -> None:
+        fleet.reset()
+        fleet.run(seconds)
+        some = fleet.relays
+        steady[name] = {
+            "cpu": fmean(relay.us() for relay in some) / 1e6 / seconds,
+            "bytes": fmean(relay.sent["bytes"] for relay in some) / seconds,
+        }
+
+    watch = Watch(fleet, {})
+    span("before", 20.0)
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    fleet.partition = lambda sender, to: region(sender) == region(to)
+    fleet.reach = lambda relay, unit: region(relay) == regions[unit]
+    cut = fleet.now
+    for look in (look for look in LOOKS if look <= hour):
+        span("apart", look - (fleet.now - cut) / SECOND)
+        points.setdefault(("apart.memory", "MB"), []).append((look, resident_mb()))
+        for what, value in sizes(fleet).items():
+            points.setdefault((f"apart.{what}", "count"), []).append((look, value))
+        for what, value in steady["apart"].items():
+            unit = "share" if what == "cpu" else "B/s"
+            points.setdefault((f"apart.{what}", unit), []).append((look, value))
+    fleet.partition, fleet.reach = (lambda sender, to: True), (lambda relay, unit: True)
+    watch.start = fleet.now
+    span("reunion", 5.0)
+    span("later", 20.0)
+    said = (
+        f"hollow, {APART} whole relays, 13 units and {APART_RATE:g} requests a second a relay; letters and "
+        "attempts between regions fail from 0 on; discovery goes on to list all units; memory is the whole "
+        "process'; entries are the largest table of any relay"
+    )
+    found = [Series("losses", name, unit, "seconds apart", row, said) for (name, unit), row in points.items()]
+    for name, unit in (("cpu", "share"), ("bytes", "B/s")):
+        row = [
+            (float(place), steady[when][name]) for place, when in enumerate(("before", "reunion", "later"))
+        ]
+        said = "the same fleet: 0 before the cut, 1 the first 5 s of the reunion, 2 the 20 s after"
+        found.append(Series("losses", f"reunion.{name}", unit, "phase", row, said))
+    return found
+
+
+def measure(small: bool) -> list[Series]:
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    for relays, units in SMALL if small else SIZES:
+        for at, value in zone_lost(relays, units).items():
+            points.setdefault(at, []).append((relays, value))
+        print(f"losses {relays}", flush=True)
+    said = (
+        "hollow; zone 0 of 4 lost at 0, told by discovery at 10 s; 13 units a relay, 183 requests a second a "
+        "relay, a third more after; units without limits of their own; whole up to 40 relays, else 17 whole, "
+        "of which 5 stop, and echoes; share of attempts at lost units in the 1st, 3rd, 9th s; half, tenth: "
+        "seconds until it has fallen to that part for a second; 10 s means that only discovery's word did it"
+    )
+    found = [Series("losses", name, unit, "relays", row, said) for (name, unit), row in points.items()]
+    return found + apart(300 if small else HOUR)
--- a/benchmarks/slopes/processes.py
+++ b/benchmarks/slopes/processes.py
@@ -22,7 +22,7 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
-from benchmarks.slopes.fleet import Size, settings, unit_name
+from benchmarks.slopes.fleet import ZONES, Size, settings, unit_name
 from benchmarks.slopes.series import resident_mb
 from lanelead.http import writing
 from lanelead.http.asks import Ask
@@ -203,7 +203,7 @@
         unit, self._discovery, self._desk_port = (s.sockets[0].getsockname()[1] for s in self._servers)
         self.list_ = [
             {
-                "id": unit_name(number), "addr": f"127.0.0.1:{unit}", "zone": f"z{number % 8}",
+                "id": unit_name(number), "addr": f"127.0.0.1:{unit}", "zone": f"z{number % ZONES}",
                 "kind": "std", "cell": number // 4, "state": "active", "weight": 1.0, "started_ms": 0,
                 "revision_no": 1,
             }
--- /dev/null
+++ b/benchmarks/slopes/restarts.py
@@ -0,0 +1,149 @@
+"""A restart: settings, whole list, first letters and first answer, by units; and all relays in ten minutes.
+
+Hollow for what the modules cost, and one real process for the constant part: its processor time from exec to
+the client's first answer. In mass: what discovery hands out, and what hubs and plain relays pay for the
+others' restarts, measured thirty times as often as 600 in ten minutes (each relay once in 20 s), since at the
+true rate nothing can be told from the noise.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from statistics import fmean
+
+import msgspec
+import uvloop
+
+from benchmarks.slopes.fleet import ZONES, Fleet, Size, settings, unit_name
+from benchmarks.slopes.processes import cpu_s, site
+from benchmarks.slopes.series import Series, processor_us, resident_mb, traced_mb
+from lanelead.decisions.interface import SECOND
+from lanelead.hosting.opening import Opening, pairs_of
+from lanelead.protocols.platform import Endpoints, listed
+from lanelead.protocols.records import decode
+from lanelead.relay.timing import EPOCH
+
+UNITS, SMALL_UNITS = (26, 150, 780, 2600, 7800), (26, 150)
+REAL, REAL_SMALL = (26, 780, 2600, 7800), (26,)
+RELAYS, SMALL = (12, 40, 100), (12,)
+RATE, ROUND, EACH = 5.0, 20.0, 13  # requests a second a relay; seconds for all to restart; units a relay
+DOWN = 0.8  # seconds from a relay's end to its next start
+
+
+def whole_list(units: int) -> bytes:
+    """Discovery's answer, as `lanelead.protocols.platform` reads it."""
+    servers = [
+        {
+            "id": unit_name(number), "addr": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:5432",
+            "zone": f"z{number % ZONES}", "kind": "std", "cell": number // 4, "state": "active",
+            "weight": 1.0, "started_ms": 1.7e12 + number, "revision_no": 1,
+        }
+        for number in range(units)
+    ]  # fmt: skip
+    return msgspec.json.encode({"version": 1, "full": True, "servers": servers})
+
+
+def one(units: int) -> dict[tuple[str, str], float]:
+    """What a restart costs the modules, of 600 relays."""
+    body = whole_list(units)
+    size = Size(600, units, 0.0, whole=1)
+    read = processor_us(lambda: listed(decode(body, Endpoints, 16 << 20)), rounds=3)
+    opening = processor_us(lambda: Opening([*pairs_of(settings(size, 0))]).lanes(), rounds=3)
+    fleet = Fleet(size, 1)
+    relay = fleet.relays[0]
+    taken = []
+    for _ in range(3):  # each start makes the decisions anew; the list's own cost is in `list`
+        relay.costs.clear()
+        fleet.start(relay)
+        taken.append((relay.us("start"), relay.us("list")))
+    relay.costs.clear()
+    fleet.now = EPOCH + 10
+    fleet.at(fleet.now, "request", 0)
+    fleet.size = replace(size, rate=1e-6)
+    fleet.run(3.0)
+    return {
+        ("list.bytes", "B"): float(len(body)),
+        ("list.read.cpu", "us"): read,
+        ("settings.cpu", "us"): opening,
+        ("start.cpu", "us"): min(start for start, _ in taken),
+        ("list.taken.cpu", "us"): min(took for _, took in taken),
+        ("first.cpu", "us"): relay.us("take", "ended"),
+        ("first.letters.bytes", "B"): float(relay.sent["bytes"]),
+        ("modules.memory", "MB"): traced_mb(lambda: Fleet(size, 1))[0],
+    }
+
+
+async def process(units: int) -> tuple[float, float]:
+    """Processor time (s) of one real relay from exec to a client's first answer, and what it holds then (MB).
+    The list comes from discovery."""
+    async with site(Size(2, units, RATE)) as place:
+        await place.start(0, known=False)
+        client = await place.connect(0, 0.0)
+        await client.first
+        client.first = place.loop.create_future()
+        client.ask()
+        await client.first
+        assert not place.errors[0], "the first answer was a refusal"
+        number = place.processes[0].pid
+        return cpu_s(number), resident_mb(number)
+
+
+def mass(relays: int, restart: bool) -> dict[str, dict[str, float]]:
+    """By role: a second's processor time, bytes sent and heard, while all relays but those whose figures are
+    read restart once, or none does."""
+    fleet = Fleet(Size(relays, relays * EACH, RATE), 1, even=True)
+    fleet.run(3.0)
+    fleet.reset()
+    roles = {role: some[:2] for role, some in fleet.roles.items()}
+    read = {relay.number: None for some in roles.values() for relay in some}
+    rest = [relay for relay in fleet.relays if relay.number not in read]
+    if restart:
+        for place, relay in enumerate(rest):
+            when = fleet.now + int((place + 0.5) / len(rest) * (ROUND - DOWN) * SECOND)
+            fleet.at(when, "call", 0, lambda relay=relay: fleet.stop(relay))
+            fleet.at(when + int(DOWN * SECOND), "call", 0, lambda relay=relay: fleet.start(relay))
+    fleet.run(ROUND)
+    return {
+        role: {
+            "cpu": fmean(relay.us() for relay in some) / 1e6 / ROUND,
+            "sent.bytes": fmean(relay.sent["bytes"] for relay in some) / ROUND,
+            "heard.bytes": fmean(relay.came["bytes"] for relay in some) / ROUND,
+        }
+        for role, some in roles.items()
+    }
+
+
+def measure(small: bool) -> list[Series]:
+    found: list[Series] = []
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    for units in SMALL_UNITS if small else UNITS:
+        for at, value in one(units).items():
+            points.setdefault(at, []).append((units, value))
+    said = (
+        "hollow; one relay of 600, all units in one list; a hub, as it has no less to do; nobody else speaks"
+    )
+    found += [Series("restarts", name, unit, "units", row, said) for (name, unit), row in points.items()]
+    real = [(units, uvloop.run(process(units))) for units in (REAL_SMALL if small else REAL)]
+    said = "one real process, exec to the client's first answer, list from discovery; pycs there; no letters"
+    cpu = [(float(units), spent) for units, (spent, _) in real]
+    held = [(float(units), memory) for units, (_, memory) in real]
+    found.append(Series("restarts", "process.cpu", "s", "units", cpu, said))
+    found.append(Series("restarts", "process.memory", "MB", "units", held, said))
+    table: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    for relays in SMALL if small else RELAYS:
+        body = len(whole_list(relays * EACH))
+        table.setdefault(("mass.discovery.bytes", "B/s"), []).append((relays, body * relays / 600))
+        for case, restart in (("calm", False), ("restarts", True)):
+            for role, row in mass(relays, restart).items():
+                for what, value in row.items():
+                    unit = "share" if what == "cpu" else "B/s"
+                    table.setdefault((f"mass.{case}.{role}.{what}", unit), []).append((relays, value))
+        print(f"restarts {relays}", flush=True)
+    said = (
+        "hollow, 13 units and 5 requests a second a relay, all whole; `restarts`: all but two of each role "
+        "restart once in 20 s, 30 times as often as 600 in ten minutes; discovery: whole lists handed out, "
+        "all relays once in 600 s, without HTTP's heads and without watches"
+    )
+    return found + [
+        Series("restarts", name, unit, "relays", row, said) for (name, unit), row in table.items()
+    ]
