--- a/benchmarks/slopes/losses.py
+++ b/benchmarks/slopes/losses.py
@@ -141,7 +141,6 @@
             "bytes": fmean(relay.sent["bytes"] for relay in some) / seconds,
         }
 
-    watch = Watch(fleet, {})
     span("before", 20.0)
     points: dict[tuple[str, str], list[tuple[float, float]]] = {}
     fleet.partition = lambda sender, to: region(sender) == region(to)
@@ -156,7 +155,6 @@
             unit = "share" if what == "cpu" else "B/s"
             points.setdefault((f"apart.{what}", unit), []).append((look, value))
     fleet.partition, fleet.reach = (lambda sender, to: True), (lambda relay, unit: True)
-    watch.start = fleet.now
     span("reunion", 5.0)
     span("later", 20.0)
     said = (
@@ -169,7 +167,7 @@
         row = [
             (float(place), steady[when][name]) for place, when in enumerate(("before", "reunion", "later"))
         ]
-        said = "the same fleet: 0 before the cut, 1 the first 5 s of the reunion, 2 the 20 s after"
+        said = "the same fleet: 1 before the cut, 2 the first 5 s of the reunion, 3 the 20 s after"
         found.append(Series("losses", f"reunion.{name}", unit, "phase", row, said))
     return found
 
