--- a/benchmarks/slopes/hollow.py
+++ b/benchmarks/slopes/hollow.py
@@ -19,19 +19,24 @@
 
 from benchmarks.slopes.fleet import Fleet, Hollow, Size
 from benchmarks.slopes.processes import available_mb, site
-from benchmarks.slopes.series import Series
+from benchmarks.slopes.restarts import whole_list
+from benchmarks.slopes.series import Series, traced_mb
+from lanelead.protocols.platform import Endpoints
+from lanelead.protocols.records import decode
 
 UNITS, RATE, CLIENTS = 13, 5.0, 3
 SIZES, SMALL = (30, 60, 150), (15,)
-WATCHED = {"hub": 0, "watcher": 4, "plain": 20}
+WATCHED = {"hub": (0,), "watcher": (4, 5), "plain": (9, 10, 11, 12)}  # whose letters go over wires
 ROOM, EACH = 6000.0, 36.0  # 10^6 bytes left to others, and what a process takes
 WARM, SPAN = 6.0, 16.0  # seconds on the wall for real ones, virtual for hollow ones
+KEPT = "; traced: the modules' objects, and the list in the configuration"
 ROLES = ("hub", "watcher", "plain")
 
 
 @dataclass
 class Row:
-    """Of the relays of one role: a second's processor time (s), letters, bytes and requests; memory, MB."""
+    """Of the relays of one role: a second's processor time (s), letters and bytes (of real ones, those
+    watched), requests; memory, MB."""
 
     cpu: float
     letters: tuple[float, float]  # sent and heard
@@ -46,7 +51,7 @@
 
 
 async def real(size: Size, rate: float, peers: bool) -> dict[str, Row]:
-    watched = [min(number, size.relays - 1) for number in WATCHED.values()]
+    watched = [number for some in WATCHED.values() for number in some]
     async with site(size, watched, peers) as place:
         await place.start_all(rate, CLIENTS)
         await asyncio.sleep(WARM)
@@ -58,13 +63,18 @@
         after, span = place.spent(), place.loop.time() - began
         memory = place.memory()
         table: dict[str, Row] = {}
-        for role, one in zip(ROLES, watched, strict=True):
+        for role in ROLES:
             some = [number for number in place.processes if role_of(number) == role]
+            sent, heard, sent_bytes, heard_bytes = (
+                fmean(counts[number, way] for number in WATCHED[role]) / span
+                for counts in (place.letters, place.bytes)
+                for way in ("sent", "heard")
+            )
             table[role] = Row(
                 cpu=fmean(after[number] - before[number] for number in some) / span,
-                letters=(place.letters[one, "sent"] / span, place.letters[one, "heard"] / span),
-                sent=place.bytes[one, "sent"] / span,
-                heard=place.bytes[one, "heard"] / span,
+                letters=(sent, heard),
+                sent=sent_bytes,
+                heard=heard_bytes,
                 requests=fmean(place.asked[number] - asked[number] for number in some) / span,
                 memory=fmean(memory[number] for number in some),
             )
@@ -106,6 +116,7 @@
         points.setdefault((name, unit, said), []).append((relays, value))
 
     parts: dict[str, float] = {}
+    held: list[tuple[float, float, float]] = []
     skipped = [relays for relays in (SMALL if small else SIZES) if not fits(relays)]
     left_out = f"; not run for want of memory: {skipped}" if skipped else ""
     for relays in (relays for relays in (SMALL if small else SIZES) if relays not in skipped):
@@ -118,8 +129,7 @@
             for name, value in parts.items():
                 note(f"outside.{name}", "us", said, relays, value * 1e6)
         found = uvloop.run(real(size, RATE, True))
-        rate = fmean(row.requests for row in found.values())
-        made = hollow(replace(size, rate=rate))
+        made = hollow(replace(size, rate=found["plain"].requests))
         fixed = f"13 units a relay, some {RATE:g} requests a second a relay, letters on, 16 s" + left_out
         for role in ROLES:
             one, other = found[role], made[role]
@@ -135,6 +145,10 @@
                 note(f"{kind}.{role}.sent.bytes", "B/s", fixed, relays, of.sent)
                 note(f"{kind}.{role}.heard.bytes", "B/s", fixed, relays, of.heard)
             note(f"real.{role}.memory", "MB", fixed, relays, one.memory)
+            if role == "plain":
+                traced = modules_mb(size)
+                note("hollow.plain.memory", "MB", fixed + KEPT, relays, traced)
+                held.append((relays, one.memory, traced))
             note(
                 f"ratio.{role}.cpu",
                 "share",
@@ -147,9 +161,23 @@
                     ratio = "; real over hollow"
                     note(f"ratio.{role}.{way}.bytes", "share", fixed + ratio, relays, many / of_hollow)
         print(f"hollow {relays}: {found} {made}", flush=True)
+    for grown, resident, traced in held[1:]:
+        growth = (resident - held[0][1]) / (traced - held[0][2])
+        said = (
+            f"what a plain one has grown by since {held[0][0]:g} relays, real (resident) over hollow (traced)"
+        )
+        note("ratio.plain.memory.growth", "share", said, grown, growth)
     return [Series("hollow", name, unit, "relays", row, said) for (name, unit, said), row in points.items()]
 
 
+def modules_mb(size: Size) -> float:
+    """What one relay's modules hold, and the last list in its configuration, which a process keeps."""
+    text = whole_list(size.units)
+    return traced_mb(lambda: (Fleet(replace(size, rate=0.0, whole=1), 1), decode(text, Endpoints, 16 << 20)))[
+        0
+    ]
+
+
 def outside(size: Size) -> dict[str, float]:
     """Seconds of processor time around the modules: a second, a request (plain relays, no letters), a letter
     sent and one heard (least squares over the roles; neither below nothing)."""
@@ -158,7 +186,7 @@
     both = uvloop.run(real(size, RATE, True))
     still = hollow(replace(size, rate=0.0))
     quiet = hollow(replace(size, rate=mute["plain"].requests, peers=False))
-    loud = hollow(replace(size, rate=fmean(row.requests for row in both.values())))
+    loud = hollow(replace(size, rate=both["plain"].requests))
     second = idle["plain"].cpu - still["plain"].cpu
     request = (mute["plain"].cpu - quiet["plain"].cpu - second) / mute["plain"].requests
     rests = [both[role].cpu - loud[role].cpu - second - request * both[role].requests for role in ROLES]
