--- a/benchmarks/slopes/hollow.py
+++ b/benchmarks/slopes/hollow.py
@@ -112,7 +112,7 @@
 def measure(small: bool) -> list[Series]:
     points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
 
-    def note(name: str, unit: str, said: str, relays: int, value: float) -> None:
+    def note(name: str, unit: str, said: str, relays: float, value: float) -> None:
         points.setdefault((name, unit, said), []).append((relays, value))
 
     parts: dict[str, float] = {}
