--- a/benchmarks/slopes/letters.py
+++ b/benchmarks/slopes/letters.py
@@ -29,7 +29,7 @@
     "13 units a relay, {rate:g} requests a second a relay with uneven shares, answers after 85 ms in the "
     "mean; probe 0.08, handshake 0.02, 7 watchers; hollow sockets, units, clients; letters take 2 to 14 ms, "
     "none lost; counts are a second, bytes are datagrams' payload and checksum without UDP's and IP's heads; "
-    "all relays whole up to 40, 17 above, the others echoes"
+    "units told may have none out any more; all relays whole up to 40, 17 above, the others echoes"
 )
 
 
@@ -56,7 +56,8 @@
                 self.age.append((fleet.now - out._at) / SECOND + held)
             elif relay in plain and kind == "heard" and said.get(relay) != out._at:
                 said[relay] = out._at
-                whole = hub.decisions._out._others
+                others = hub.decisions._out._others
+                whole = {unit: others.get(unit, 0) + len(unit.out) for unit in hub.decisions._roster.ready}
                 known = {server: many + len(server.out) for server, many in out._others.items()}
                 if used := sum(many > 0 for many in whole.values()):
                     self.units.append(sum(many > 0 for many in known.values()) / used)
@@ -81,6 +82,8 @@
             ("heard.letters", "count"): self.mean(role, lambda relay: relay.came["letters"]),
             ("sent.bytes", "B/s"): self.mean(role, lambda relay: relay.sent["bytes"]),
             ("heard.bytes", "B/s"): self.mean(role, lambda relay: relay.came["bytes"]),
+            ("heard.bytes.sightings", "B/s"): self.mean(role, lambda relay: relay.parts["sightings"]),
+            ("heard.bytes.loads", "B/s"): self.mean(role, lambda relay: relay.parts["loads"]),
             ("heard.cpu", "share"): self.mean(role, lambda relay: relay.us("heard") / 1e6),
             ("beat.cpu", "share"): self.mean(role, lambda relay: relay.us("beat") / 1e6),
             ("requests.cpu", "share"): self.mean(
