--- a/benchmarks/slopes/hollow.py
+++ b/benchmarks/slopes/hollow.py
@@ -10,8 +10,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass, replace
-from statistics import fmean
+from statistics import fmean, median
 
 import numpy as np
 import uvloop
@@ -20,7 +21,8 @@
 from benchmarks.slopes.fleet import Fleet, Hollow, Size
 from benchmarks.slopes.processes import available_mb, site
 from benchmarks.slopes.restarts import whole_list
-from benchmarks.slopes.series import Series, reference_us, traced_mb
+from benchmarks.slopes.series import Series, traced_mb
+from lanelead.decisions.interface import SECOND
 from lanelead.protocols.platform import Endpoints
 from lanelead.protocols.records import decode
 
@@ -29,7 +31,7 @@
 WATCHED = {"hub": (0,), "watcher": (4, 5), "plain": (9, 10, 11, 12)}  # whose letters go over wires
 ROOM, EACH = 6000.0, 36.0  # 10^6 bytes left to others, and what a process takes
 WARM, SPAN = 6.0, 16.0  # seconds on the wall for real ones, virtual for hollow ones
-PACE = 190.0  # us of the reference work: runs on a machine that others load are scaled to it
+PACE = 200.0  # us of the fixed work, which runs beside each measured span: a busy machine is a slower one
 KEPT = "; traced: the modules' objects, and the list in the configuration"
 ROLES = ("hub", "watcher", "plain")
 
@@ -47,6 +49,14 @@
     memory: float = 0.0
 
 
+def fixed_work_us() -> float:
+    """Processor time of some work that is always the same, by one call: it is made ten times a second."""
+    began = time.thread_time_ns()
+    table = {number * 7919 % 1009: number / 3 for number in range(600)}
+    b",".join(b"%d" % key for key in sorted(table, key=lambda key: table[key]))
+    return (time.thread_time_ns() - began) / 1e3
+
+
 def role_of(number: int) -> str:
     return "hub" if number < 4 else "watcher" if number < 7 else "plain"
 
@@ -60,9 +70,12 @@
         place.letters.clear()
         place.bytes.clear()
         began = place.loop.time()
-        await asyncio.sleep(SPAN)
+        paced: list[float] = []
+        while place.loop.time() < began + SPAN:
+            await asyncio.sleep(0.1)
+            paced.append(fixed_work_us())
         after, span = place.spent(), place.loop.time() - began
-        pace = reference_us() / PACE
+        pace = median(paced) / PACE
         memory = place.memory()
         table: dict[str, Row] = {}
         for role in ROLES:
@@ -87,9 +100,11 @@
     fleet = Fleet(replace(size, transit=(0.1, 0.5), link=0.3), 1, even=True)
     fleet.run(WARM)
     fleet.reset()
-    before = reference_us()
+    paced: list[float] = []
+    for tenth in range(int(SPAN * 10)):
+        fleet.at(fleet.now + tenth * SECOND // 10, "call", 0, lambda: paced.append(fixed_work_us()))
     fleet.run(SPAN)
-    pace = (before + reference_us()) / 2 / PACE
+    pace = median(paced) / PACE
 
     def row(some: list[Hollow]) -> Row:
         def mean(values: list[float]) -> float:
@@ -137,7 +152,7 @@
         fixed = (
             f"13 units a relay, some {RATE:g} requests a second a relay, letters on, 16 s; processor time "
         )
-        fixed += f"is scaled by each run's reference work to {PACE:g} us of it" + left_out
+        fixed += f"is scaled by fixed work in each span to {PACE:g} us of that" + left_out
         for role in ROLES:
             one, other = found[role], made[role]
             told = (
--- a/benchmarks/slopes/losses.py
+++ b/benchmarks/slopes/losses.py
@@ -14,7 +14,7 @@
 
 from benchmarks.slopes.fleet import ZONES, Fleet, Hollow, Size, listing
 from benchmarks.slopes.series import Series, resident_mb
-from lanelead.decisions.interface import SECOND
+from lanelead.decisions.interface import SECOND, Fate
 from lanelead.protocols.records import Listed
 
 SIZES, SMALL = ((8, 104), (40, 520), (200, 2600), (600, 7800)), ((8, 104), (40, 520))
@@ -132,11 +132,18 @@
     fleet.run(10.0)
     steady: dict[str, dict[str, float]] = {}
 
+    def trips() -> tuple[int, int]:
+        counts = [relay.driver.counts for relay in fleet.relays]
+        vain = sum(count.fates.get(Fate.UNREACHABLE, 0) for count in counts)
+        return sum(count.trips for count in counts), vain
+
     def span(name: str, seconds: float) -> None:
         fleet.reset()
+        before = trips()
         fleet.run(seconds)
-        some = fleet.relays
+        after, some = trips(), fleet.relays
         steady[name] = {
+            "vain": (after[1] - before[1]) / max(1, after[0] - before[0]),
             "cpu": fmean(relay.us() for relay in some) / 1e6 / seconds,
             "bytes": fmean(relay.sent["bytes"] for relay in some) / seconds,
         }
@@ -152,7 +159,7 @@
         for what, value in sizes(fleet).items():
             points.setdefault((f"apart.{what}", "count"), []).append((look, value))
         for what, value in steady["apart"].items():
-            unit = "share" if what == "cpu" else "B/s"
+            unit = "B/s" if what == "bytes" else "share"
             points.setdefault((f"apart.{what}", unit), []).append((look, value))
     fleet.partition, fleet.reach = (lambda sender, to: True), (lambda relay, unit: True)
     span("reunion", 5.0)
@@ -160,13 +167,12 @@
     said = (
         f"hollow, {APART} whole relays, 13 units and {APART_RATE:g} requests a second a relay; letters and "
         "attempts between regions fail from 0 on; discovery goes on to list all units; memory is the whole "
-        "process'; entries are the largest table of any relay"
+        "process'; entries are the largest table of any relay; vain: attempts at units out of reach"
     )
     found = [Series("losses", name, unit, "seconds apart", row, said) for (name, unit), row in points.items()]
     for name, unit in (("cpu", "share"), ("bytes", "B/s")):
-        row = [
-            (float(place), steady[when][name]) for place, when in enumerate(("before", "reunion", "later"))
-        ]
+        phases = enumerate(("before", "reunion", "later"), 1)
+        row = [(float(place), steady[when][name]) for place, when in phases]
         said = "the same fleet: 1 before the cut, 2 the first 5 s of the reunion, 3 the 20 s after"
         found.append(Series("losses", f"reunion.{name}", unit, "phase", row, said))
     return found
@@ -174,6 +180,7 @@
 
 def measure(small: bool) -> list[Series]:
     points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    regions = apart(300 if small else HOUR)  # first: its memory is the process'
     for relays, units in SMALL if small else SIZES:
         for at, value in zone_lost(relays, units).items():
             points.setdefault(at, []).append((relays, value))
@@ -185,4 +192,4 @@
         "seconds until it has fallen to that part for a second; 10 s means that only discovery's word did it"
     )
     found = [Series("losses", name, unit, "relays", row, said) for (name, unit), row in points.items()]
-    return found + apart(300 if small else HOUR)
+    return found + regions
