Tenants' and classes' figures may change while requests are under way

Change: decisions read Figures, which a host may have worked out anew (retold); sums by member and lane are made once they come. Spill keeps the longest time of the start.

--- a/lanelead/decisions/choosing.py
+++ b/lanelead/decisions/choosing.py
@@ -6,7 +6,7 @@
 from typing import TypeAlias
 
 from lanelead.decisions.guards import Guards
-from lanelead.decisions.interface import SECOND, Lookup, Place, Ticks
+from lanelead.decisions.interface import SECOND, Figures, Lookup, Place, Ticks
 from lanelead.decisions.servers import Outstanding, Roster, Server, Traffic
 from lanelead.decisions.zones import Pools
 
@@ -16,14 +16,14 @@
 
 
 class Choice:
-    """`quickest`, `longest`: expected times. `spared`: how long idle connections last; 0: no matter."""
+    """`spared`: how long idle connections last; 0: no matter."""
 
     def __init__(
-        self, roster: Roster, guards: Guards, out: Outstanding, traffic: Traffic, quickest: Ticks,
-        longest: Ticks, spared: Ticks, place: Place, chance: Random,
+        self, roster: Roster, guards: Guards, out: Outstanding, traffic: Traffic, figures: Figures,
+        spared: Ticks, place: Place, chance: Random,
     ) -> None:
         self._roster, self.guards, self.chance, self._out = roster, guards, chance, out
-        self._traffic, self._target, self._rest, self._spared = traffic, quickest // 2, 2 * longest, spared
+        self._traffic, self._figures, self._spared = traffic, figures, spared
         self._place = place.number / place.relays
 
     def note(self, server: Server, strike: float, now: Ticks) -> None:  # sets aside, but never most units
@@ -31,11 +31,12 @@
         server.strikes.add(now, strike)
         failing, ready = server.strikes.read(now) >= max(2.0, server.trips.read(now) / 2), self._roster.ready
         if failing and server.aside <= now and 2 * sum(other.aside > now for other in ready) < len(ready):
-            server.aside = now + self._rest + int(self._rest * self.chance.random())
+            server.aside = now + int(2 * self._figures.longest * (1 + self.chance.random()))
 
     def _room(self, server: Server, now: Ticks) -> bool:
         """One more trip? Up to what it did in six tenths of the expected time: guards against long queues."""
-        return not server.out or len(server.out) < 1.2 * server.done.read(now) / (2 * SECOND) * self._target
+        target = self._figures.least // 2
+        return not server.out or len(server.out) < 1.2 * server.done.read(now) / (2 * SECOND) * target
 
     def cost(self, server: Server, now: Ticks) -> float:  # the wait to expect there, as a rank
         trips = server.trips.read(now)
--- a/lanelead/decisions/figures.py
+++ b/lanelead/decisions/figures.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -34,8 +35,10 @@
     AUTOMATIC = "automatic"
 
 
-@dataclass(frozen=True, eq=False)
+@dataclass(eq=False)
 class Lane:
+    """A host may change times and values while lookups are under way, and says so by `Figures.retold`."""
+
     name: str
     expected_time: Ticks
     outer_limit: Ticks
@@ -53,13 +56,29 @@
         return self.value / self.expected_time
 
 
-@dataclass(frozen=True, eq=False)
+@dataclass(eq=False)
 class Member:
+    """The same."""
+
     name: str
     quota: float
     share: float
 
 
+class Figures:
+    """What is worked out from lanes and members, whose figures may change. `longest`, `least`: the lanes'
+    expected times. `quotas`: of all members, lookups a second over all relays; `quota`: a relay's part."""
+
+    def __init__(self, lanes: Iterable[Lane], quotas: float, relays: int) -> None:
+        self._lanes, self._relays = list(lanes), relays
+        self.retold(quotas)
+
+    def retold(self, quotas: float) -> None:
+        times = [lane.expected_time for lane in self._lanes]
+        self.longest, self.least = max(times), min(times)
+        self.quotas, self.quota = quotas, quotas / self._relays
+
+
 @dataclass(frozen=True)
 class Place:
     """Where this relay stands among the others."""
--- a/lanelead/decisions/guards.py
+++ b/lanelead/decisions/guards.py
@@ -4,7 +4,8 @@
 from random import Random
 
 from lanelead.decisions.interface import (
-    SECOND, Allowance, Condition, Duties, Fate, Lane, Lookup, News, Phase, Repeat, Scope, Ticks, Trial,
+    SECOND, Allowance, Condition, Duties, Fate, Figures, Lane, Lookup, News, Phase, Repeat, Scope, Ticks,
+    Trial,
 )
 from lanelead.decisions.servers import Roster, Server, Traffic, warmth
 from lanelead.decisions.sums import Purse, Recent, turned
@@ -86,10 +87,10 @@
 class Guards:
     def __init__(
         self, allowance: Allowance, duties: Duties, exposure: Exposure, roster: Roster, traffic: Traffic,
-        quota: float,
+        figures: Figures,
     ) -> None:
         self._allowance, self._duties, self.exposure = allowance, duties, exposure
-        self._roster, self._traffic, self._quota = roster, traffic, quota
+        self._roster, self._traffic, self._figures = roster, traffic, figures
 
     def permitted(self, server: Server, lookup: Lookup, now: Ticks) -> bool:  # again right before each trip
         return self.open(server, lookup, now) and self.exposure.allows(server.build, lookup, now)
@@ -118,7 +119,7 @@
         """One more to a cold unit? All keep to a multiple of their usual part, parts of a trip by a lot that
         turns: guards against small relays that draw none for good, and stand idle where all are cold."""
         warm, duties, traffic = warmth(server, self._duties, now), self._duties, self._traffic
-        usual = max(traffic.done.read(now) / 4, (self._quota or traffic.taken.read(now) / 8) / 2)
+        usual = max(traffic.done.read(now) / 4, (self._figures.quota or traffic.taken.read(now) / 8) / 2)
         budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND / len(self._roster.ready)
         lot, guarded = turned(server.lot, now / max(1, duties.fall_time)), duties.fall_time > 0
         return warm >= 1 or not guarded or server.sent(now, duties.fall_time) + 1 <= budget + lot
--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -16,6 +16,7 @@
     Allowance as Allowance,
     Control as Control,
     Duties as Duties,
+    Figures as Figures,
     Lane as Lane,
     Member as Member,
     Place as Place,
@@ -280,6 +281,7 @@
 
     now: Ticks
     acts: list[Act]
+    figures: Figures
 
     def meet(self, mark: int) -> Unit: ...
     def roster(self, coverage: Coverage, listings: Sequence[Listing]) -> None: ...
--- a/lanelead/decisions/rules.py
+++ b/lanelead/decisions/rules.py
@@ -6,14 +6,14 @@
 from lanelead.decisions.choosing import Choice
 from lanelead.decisions.guards import NEVER_RAN, Exposure, Guards
 from lanelead.decisions.interface import (
-    SECOND, Act, Allowance, BreakOff, CallOff, Close, Coverage, Duties, Fate, Fetch, Lane, Listing,
+    SECOND, Act, Allowance, BreakOff, CallOff, Close, Coverage, Duties, Fate, Fetch, Figures, Lane, Listing,
     Lookup, Member, News, Out, Phase, Place, Poll, Preference, Probe, Report, Send, Shed, Sighting, Tally,
     Tariff, Ticks, Trial, Trip, Unit, Wake, Watch, Word,
 )
 from lanelead.decisions.journeys import Journey, Journeys
 from lanelead.decisions.rollout import Rollout
 from lanelead.decisions.scoring import FAULTS, HARD, MUTE, STRIKES, Fault, Scoring
-from lanelead.decisions.servers import Outstanding, Pacing, Roster, Server, Traffic, Untold, mine
+from lanelead.decisions.servers import Fares, Outstanding, Pacing, Roster, Server, Traffic, Untold, mine
 from lanelead.decisions.sums import Fading
 from lanelead.decisions.telling import CIRCLE, Circle
 from lanelead.decisions.zones import ANYWHERE, Spill
@@ -29,7 +29,7 @@
     ) -> None:
         self.now, self.acts = now, list[Act]()
         self._allowance, self._duties, self._chance = allowance, duties, chance
-        self._longest, self._least = (pick(lane.expected_time for lane in lanes) for pick in (max, min))
+        self.figures = Figures(lanes, sum(member.quota for member in members), place.relays)
         self._rates, self._pacing = {lane: Fading(4 * SECOND) for lane in lanes}, Pacing(SECOND, now)
         self._roster, self._circle = Roster(), Circle(place, poll.back_votes, chance)
         many = place.relays > CIRCLE
@@ -39,26 +39,23 @@
         self._spares, self._suspect = self._tells and tariff.handshake > 0, max(0.02, 2.5 * tariff.handshake)
         told = many and self._circle.watches  # much is told to it: it looks less often
         self._beat = SECOND // (5 if not told else 2 if self._circle.watchers <= CIRCLE else 1)
-        self._quotas = sum(member.quota for member in members)
         self._traffic, self._exposure = Traffic(4 * SECOND), Exposure(trial, many, chance)
         self._scoring = Scoring(5 * SECOND, 3 * SECOND, fill=10, ripe=5 * SECOND)
         self._rollout = Rollout(trial, poll, self._circle, self._scoring, self._traffic, chance)
-        self._spill = Spill(preference, duties, self._longest, self._beat, chance)
-        quota = self._quotas / place.relays
-        self._guards = Guards(allowance, duties, self._exposure, self._roster, self._traffic, quota)
+        self._spill = Spill(preference, duties, self.figures.longest, self._beat, chance)
+        self._guards = Guards(allowance, duties, self._exposure, self._roster, self._traffic, self.figures)
         self._choice = self.chooses(
-            self._roster, self._guards, self._out, self._traffic, self._least, self._longest,
+            self._roster, self._guards, self._out, self._traffic, self.figures,
             allowance.idle_limit if self._spares else 0, place, chance,
         )
         self._lost, self._untold = Fading(10 * SECOND), Untold(len(Fault))
         self._journeys = Journeys(self._send, lambda act: self.acts.append(act))
-        fares = [(member, lane) for member in [*members, None] for lane in lanes]
-        self._fares = {fare: (Fading(4 * SECOND), Fading(4 * SECOND)) for fare in fares}  # ended, and timely
+        self._fares = Fares(4 * SECOND)
         first = Wake(now + int(self._beat * chance.uniform(0.5, 1)), None)
         self.acts += [first, Watch(True)] if duties.subscribe else [first]
 
     def meet(self, mark: int) -> Unit:
-        return Server(mark, 2 * self._longest, 2 * SECOND, self._chance.random())
+        return Server(mark, 2 * self.figures.longest, 2 * SECOND, self._chance.random())
 
     def roster(self, coverage: Coverage, listings: Sequence[Listing]) -> None:
         if coverage is Coverage.FAILED:
@@ -126,7 +123,7 @@
 
     def probed(self, unit: Unit, fate: Fate, took: Ticks, report: Report | None) -> None:
         if fate is Fate.DONE and report:
-            mine(unit).told, fair = self.now, self._quotas / max(1, len(self._roster.ready))
+            mine(unit).told, fair = self.now, self.figures.quotas / max(1, len(self._roster.ready))
             queue = report.get("waiting", 0) / max(report["rps"], fair) if report.get("rps") else 0
             mine(unit).wait = max(took, int(queue * SECOND))  # a deep probe has waited itself
         self._lost.add(self.now, fate is Fate.UNREACHABLE)
@@ -231,13 +228,13 @@
         ended, timely = (fare.read(self.now) for fare in self._fares[lookup.member, lookup.lane])
         if (took := self._pacing.took(self.now)) is None:  # no hub tells: what was seen here counts
             return self._chance.random() > 3 * (1 + timely) / (1 + 2 * ended)
-        excess = 1 - 0.75 * self._least / max(1, took)  # a mean, about which trips are spread
+        excess = 1 - 0.75 * self.figures.least / max(1, took)  # a mean, about which trips are spread
         rates = {lane: rate.read(self.now) for lane, rate in self._rates.items()}
         less = sum(rate for lane, rate in rates.items() if lane.worth < lookup.lane.worth)
         return self._chance.random() * rates[lookup.lane] < excess * sum(rates.values()) - less
 
     def _thin(self) -> bool:  # one of many, with less than a lookup for each server in an expected time
-        lookups = self._traffic.taken.read(self.now) * self._longest / (4 * SECOND)
+        lookups = self._traffic.taken.read(self.now) * self.figures.longest / (4 * SECOND)
         return self._asks and lookups < len(self._roster.ready)
 
     def _send(self, lookup: Lookup, server: Server) -> None:
@@ -253,7 +250,7 @@
 
     def _give_up(self, lookup: Lookup) -> None:
         over = 0.5 + self._traffic.shed.read(self.now) / max(1, self._traffic.taken.read(self.now))
-        advice = int(over * self._longest * self._chance.uniform(0.5, 1.5))  # spread, or all come at once
+        advice = int(over * self.figures.longest * self._chance.uniform(0.5, 1.5))  # spread, or all come
         advice = min(advice, self._allowance.retry_advice * self._allowance.longest_advice)
         ran = any(trip.fate not in NEVER_RAN for trip in lookup.trips)  # a shed reply promises that none did
         self.acts.append(BreakOff(lookup) if ran else Shed(lookup, advice))
--- a/lanelead/decisions/servers.py
+++ b/lanelead/decisions/servers.py
@@ -7,8 +7,8 @@
 from random import Random
 
 from lanelead.decisions.interface import (
-    LOADS, Answered, Condition, Coverage, Duties, Lane, Least, Listing, Load, Out, Pace, Sighting, Ticks,
-    Trip, Unit, Word,
+    LOADS, Answered, Condition, Coverage, Duties, Lane, Least, Listing, Load, Member, Out, Pace, Sighting,
+    Ticks, Trip, Unit, Word,
 )
 from lanelead.decisions.sums import Fading
 
@@ -76,6 +76,19 @@
     return duties.cold_share + (1 - duties.cold_share) * max(0, age) / max(1, duties.cold_time)
 
 
+class Fares(dict[tuple[Member | None, Lane], tuple[Fading, Fading]]):
+    """By member and lane, the lookups that ended and those that were timely: made once they come. Guards
+    against state of each of many thousand members at each relay, most of which never ask there."""
+
+    def __init__(self, span: Ticks) -> None:
+        super().__init__()
+        self._span = span
+
+    def __missing__(self, fare: tuple[Member | None, Lane]) -> tuple[Fading, Fading]:
+        self[fare] = made = Fading(self._span), Fading(self._span)
+        return made
+
+
 class Untold:
     """Outcomes that this relay saw, or passes on, and has not told yet; one row a unit, lane and build."""
 
