--- /dev/null
+++ b/benchmarks/slopes/decisions.py
@@ -0,0 +1,137 @@
+"""What the decision module alone costs one relay, by units in one flat list, and by services of 26 units."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from statistics import median
+
+from benchmarks.slopes.hollow_relay import NEWS, RATE, RELAYS, UNITS, Meter, Town
+from benchmarks.slopes.series import Series, processor_us, traced_mb
+from lanelead.decisions.interface import Condition, Coverage
+
+SERVICES = (1, 10, 100, 300)
+OF_ONE = 26  # units of a service
+WARM, WINDOW, WINDOWS = 20.0, 5.0, 5  # virtual seconds: what scores remember is full by then
+HELD = (
+    f"decisions alone, virtual clock, {RELAYS} relays, letters tell, prices of connections on, {RATE} "
+    "lookups a second at this relay whatever the units, each trip 250 ms, 1 of 100 ends in an error, three "
+    "classes, three tenants, no collector"
+)
+
+
+def steady(make: Callable[[], Town], small: bool) -> tuple[dict[str, float], Town]:
+    """Microseconds of a call by name, medians over windows; `lookup` is all that was spent on one."""
+    town, found = make(), list[dict[str, float]]()
+    town.run(3 if small else WARM)
+    for _ in range(3 if small else WINDOWS):
+        town.meter.clear()
+        asked = town.asked
+        town.run(1 if small else WINDOW)
+        found.append(figures(town.meter, town.asked - asked))
+    return {name: median(one.get(name, 0.0) for one in found) for name in found[0]}, town
+
+
+def figures(meter: Meter, asked: int) -> dict[str, float]:
+    one = {name: meter.us(name) for name in meter.calls}
+    parts = ("take", "outcome", "woken", "probed")
+    one["lookup"] = sum(one[name] * meter.calls[name] for name in parts if name in one) / max(1, asked)
+    return one
+
+
+def change_us(town: Town) -> float:
+    """One unit is told of as draining, then as ready again: of one such change."""
+    unit, relay = town.units[len(town.units) // 2], town.relay
+    rows = [
+        town.listing(unit, NEWS["build"], condition) for condition in (Condition.DRAINING, Condition.READY)
+    ]
+
+    def both() -> None:
+        for row in rows:
+            relay.roster(Coverage.CHANGES, [row])
+
+    return processor_us(both) / 2
+
+
+NOTES = {
+    "choice": "take, up to its Send",
+    "outcome": "ended, of one trip",
+    "lookup": "take to its end, with the wakes and repeats that fell to it",
+    "beat": "five a second at a relay that is no hub and no watcher; build released",
+    "change": "one unit of one list, taken in by the decisions alone; between lookups, none under way",
+    "trial.beat": "as beat, 8 units of 100 of a build on trial, in its first stage",
+    "asking.lookup": "as lookup, but a probe costs 0.01: no letter tells and no connection is spared; from "
+    "780 units on it asks two units first, whose answers come in a millisecond",
+    "quiet.beat": "as beat, at one lookup in two seconds: without the scores' own work",
+    "memory": "traced; all that the decisions hold, units and 20 s of lookups, no names, no driver",
+}
+
+
+def by_units(sizes: tuple[int, ...], small: bool) -> list[Series]:
+    points = {name: list[tuple[float, float]]() for name in NOTES}
+    for size in sizes:
+        found, town = steady(partial(Town, size), small)
+        found |= {"choice": found["take"], "change": change_us(town)}
+        found["trial.beat"] = steady(partial(Town, size, trial=0.08), small)[0]["beat"]
+        found["asking.lookup"] = steady(partial(Town, size, probe=0.01), small)[0]["lookup"]
+        found["quiet.beat"] = steady(partial(Town, size, rate=0.5), small)[0]["beat"]
+        found["memory"] = traced_mb(partial(used, size, 2 if small else WARM))[0]
+        for name, rows in points.items():
+            rows.append((size, round(found[name], 3)))
+    return [
+        Series("decisions", name, "MB" if name == "memory" else "us", "units", rows, f"{NOTES[name]}; {HELD}")
+        for name, rows in points.items()
+    ]
+
+
+def used(units: int, seconds: float) -> Town:
+    town = Town(units)
+    town.run(seconds)
+    return town
+
+
+def by_services(sizes: tuple[int, ...], small: bool) -> list[Series]:
+    """One Relay a service, each with a list of its own; the rate is split evenly."""
+    points = {name: list[tuple[float, float]]() for name in ("lookup", "beat", "change", "memory")}
+    for size in sizes:
+        meter = Meter()
+        held, towns = traced_mb(partial(split, size, meter))
+        found = list[dict[str, float]]()
+        for turn in range(2 if small else 8):  # the first ones warm up
+            meter.clear()
+            asked = sum(town.asked for town in towns)
+            for _ in range(10 if small else 25):  # in turns: a service's state is not still in the cache
+                for town in towns:
+                    town.run(0.2)
+            if turn >= (1 if small else 3):
+                found.append(figures(meter, sum(town.asked for town in towns) - asked))
+        one = {name: median(each[name] for each in found) for name in ("lookup", "beat")}
+        one |= {"beat": size * one["beat"], "change": change_us(towns[0]), "memory": held}
+        for name, rows in points.items():
+            rows.append((size, round(one[name], 3)))
+    none = (
+        f"nothing carries services yet: one Relay a service of {OF_ONE} units, {RATE} lookups a second split "
+        f"evenly over the services that this relay uses; decisions alone, {RELAYS} relays, virtual clock"
+    )
+    notes = {
+        "lookup": "as by units",
+        "beat": "the beats of all of them, once",
+        "change": "one unit of one of them",
+        "memory": "traced; units as listed, no lookup yet",
+    }
+    return [
+        Series("decisions", f"services.{name}", "MB" if name == "memory" else "us", "services", rows,
+               f"{notes[name]}; {none}")
+        for name, rows in points.items()
+    ]  # fmt: skip
+
+
+def split(services: int, meter: Meter) -> list[Town]:
+    return [Town(OF_ONE, RATE / services, meter=meter) for _ in range(services)]
+
+
+def measure(small: bool) -> list[Series]:
+    return [
+        *by_units((26, 150) if small else UNITS, small),
+        *by_services((1, 4) if small else SERVICES, small),
+    ]
--- /dev/null
+++ b/benchmarks/slopes/hollow_relay.py
@@ -0,0 +1,274 @@
+"""One relay without sockets, for the slopes: real decisions and driver, hollow hands, a virtual clock.
+
+The figures of `settings` are near those of a day in the life of the operators' sites; no site's file is read.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+from collections.abc import Sequence
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from lanelead.decisions.interface import (
+    SECOND,
+    CallOff,
+    Condition,
+    Coverage,
+    Fate,
+    Lane,
+    Listing,
+    Load,
+    Lookup,
+    Member,
+    News,
+    Pace,
+    Phase,
+    Probe,
+    Send,
+    Ticks,
+    Trip,
+    Unit,
+    Vote,
+    Wake,
+)
+from lanelead.decisions.rules import Relay
+from lanelead.hosting.opening import Opening, pairs_of
+from lanelead.relay.driver import Driver, Ticket
+
+UNITS = (26, 150, 780, 7800)
+RATE = 183  # lookups a second at one relay: its mean at the peak
+RELAYS, NUMBER = 600, 300  # relays in all, and this one's number: no hub, no watcher
+TOOK: Ticks = 2_500  # a trip's time at a unit
+FAULTY = 100  # one trip of so many ends in an error
+ZONES = ("kif", "mar", "pal", "ath")
+NEWS: dict[str, Any] = {"build": 7, "stage": 3, "phase": "live", "cap": 1.0, "age_ms": 600_000}
+
+
+def settings(
+    relays: int = RELAYS, number: int = NUMBER, probe: float = 0.1, handshake: float = 0.01, tenants: int = 3
+) -> dict[str, Any]:
+    """What a relay is told at its start, three classes. `probe`, `handshake`: prices; at a probe's price of
+    0.025 or less a relay of many asks units before it chooses, else letters tell it."""
+
+    def lane(name: str, aim: float, deadline: float, credit: float, repeat: str) -> dict[str, Any]:
+        return {
+            "name": name, "aimMs": aim, "deadlineMs": deadline, "credit": credit, "lateWorth": 0.2,
+            "repeat": repeat, "group": "all", "windowMs": 2000.0, "streaming": False,
+        }  # fmt: skip
+
+    return {
+        "me": number, "instances": relays, "zone": ZONES[0], "tickMs": 5.0, "discovery": "automatic",
+        "requestClasses": [
+            lane("status", 1500.0, 6000.0, 1.0, "read_like"),
+            lane("search", 800.0, 3000.0, 1.0, "read_like"),
+            lane("submit", 1200.0, 4000.0, 3.0, "non_idempotent"),
+        ],
+        "accounts": [
+            {"name": f"tenant-{place:05d}", "quotaPerS": round(1.3 * RATE * relays / tenants, 4),
+             "share": round(1 / tenants, 8)}
+            for place in range(tenants)
+        ],
+        "allowed": {
+            "attemptsCap": 3, "openCap": 1000, "maxStreams": 100, "mayCancel": True, "probes": True,
+            "peers": True, "secondCopies": True, "retryAfter": True, "maxRetryAfterMs": 2000.0,
+            "connectTimeoutMs": 250.0, "connIdleMs": 15000.0,
+        },
+        "contract": {
+            "answerSlackMs": 20.0, "drainGraceMs": 2000.0, "coldFrom": 0.5, "coldMs": 3000.0,
+            "fallMultiple": 4.0, "fallMs": 1000.0,
+        },
+        "familyInfo": {
+            "shares": [0.08, 0.25, 0.6, 1.0], "mostShares": [0.096, 0.3, 0.72, 1.0], "uncounted": 3.0,
+            "countedOverMs": 3000.0, "capScope": "all", "decidedBy": "first_voice", "onVotes": 1,
+            "noesNeeded": 1, "apiTimeoutMs": 800.0, "voteTtlMs": 6000.0, "voteAllowance": 200.0,
+            "minDwellMs": 1000.0, "delayPrice": 0.35, "harmPrice": 6.0,
+        },
+        "prices": {"probe": probe, "peer": 0.01, "waste": 0.03, "lateFail": 0.05, "handshake": handshake},
+        "loadReport": {"how": "pull", "names": ["queue", "util"]},
+    }  # fmt: skip
+
+
+def opening(told: dict[str, Any]) -> Opening:
+    return Opening([*pairs_of(told)])
+
+
+def decisions(told: Opening, lanes: Sequence[Lane], members: Sequence[Member], now: Ticks) -> Relay:
+    """As the platform's relay makes them. Lanes and members are known by the objects given here."""
+    return Relay(
+        place=told.place(),
+        lanes=lanes,
+        members=members,
+        allowance=told.allowance(),
+        duties=told.duties(),
+        trial=told.trial(),
+        poll=told.poll(),
+        tariff=told.tariff(),
+        chance=Random(7),
+        now=now,
+    )
+
+
+class Hands:
+    """Does nothing of what it is asked to."""
+
+    def send(self, trip: Trip, ticket: Ticket) -> None: ...
+    def abandon(self, trip: Trip) -> bool:
+        return False
+
+    def probe(self, unit: Unit) -> None: ...
+    def close(self, unit: Unit) -> None: ...
+    def tell(self, peer: int | None, payloads: Sequence[bytes]) -> None: ...
+    def vote(self, vote: Vote) -> None: ...
+    def watch(self, on: bool) -> None: ...
+    def fetch(self) -> None: ...
+    def note(self, text: str) -> None: ...
+
+
+def driver(told: Opening) -> Driver:
+    """A relay's driver with hollow hands, on a clock that stands still."""
+    now: Ticks = 3600 * SECOND
+    allowance, lanes = told.allowance(), told.lanes()
+    return Driver(
+        decisions(told, lanes, told.members(), now), Hands(), lambda: now, lanes, told.duties(),
+        allowance.open_lookups, allowance.longest_advice,
+    )  # fmt: skip
+
+
+class Meter:
+    """Processor time of single calls, added up by name; the cost of reading the clock is taken off."""
+
+    def __init__(self) -> None:
+        self.spent: dict[str, float] = {}
+        self.calls: dict[str, int] = {}
+        for _ in range(2000):
+            self._empty = self._began = time.process_time()
+            self.stop("clock")
+        self._empty, self._clock = 0.0, self.spent.pop("clock") / self.calls.pop("clock")
+
+    def start(self) -> None:
+        self._began = time.process_time()
+
+    def stop(self, name: str) -> None:
+        spent = time.process_time() - self._began
+        self.spent[name] = self.spent.get(name, 0.0) + spent
+        self.calls[name] = self.calls.get(name, 0) + 1
+
+    def us(self, name: str) -> float:
+        """The mean since the last `clear`, microseconds."""
+        return max(0.0, self.spent[name] / self.calls[name] - self._clock) * 1e6
+
+    def clear(self) -> None:
+        self.spent, self.calls = {}, {}
+
+
+class Town:
+    """One relay's decisions before `units` units, asked `rate` lookups a second, each trip `TOOK` long.
+
+    One trip of `FAULTY` ends in an error. Four times a beat of its own a hub tells it of all trips out, as in
+    `Circle`: the `LOADS` units with the most. `probed`: probes are answered within a millisecond.
+    """
+
+    def __init__(
+        self,
+        units: int,
+        rate: float = RATE,
+        trial: float = 0.0,
+        probe: float = 0.1,
+        meter: Meter | None = None,
+    ) -> None:
+        self.now: Ticks = 3600 * SECOND
+        told = opening(settings(probe=probe))
+        self.lanes, self.members, self.meter = told.lanes(), told.members(), meter or Meter()
+        self.relay = decisions(told, self.lanes, self.members, self.now)
+        self._gap, self._due, self._heap = SECOND / rate, float(self.now), list[tuple[Ticks, int, Any]]()
+        self._chance, self._number, self._told = Random(11), 0, self.now
+        self.sent = self.asked = 0
+        marks = self._chance.sample(range(65536), units)  # one for each
+        self.units = [self.relay.meet(mark) for mark in marks]
+        new = round(trial * units)
+        rows = [self.listing(unit, NEWS["build"] if place >= new else NEWS["build"] + 1)
+                for place, unit in enumerate(self.units)]  # fmt: skip
+        self.relay.roster(Coverage.CACHED, rows)
+        build, phase, stage = NEWS["build"], Phase.RELEASED, NEWS["stage"]
+        if new:
+            build, phase, stage = build + 1, Phase.TRIAL, 0
+        self.relay.news(News(build, stage, phase, 0.096 if new else 1.0, 60 * SECOND, False, Fate.DONE))
+        self._carry()
+
+    def listing(self, unit: Unit, build: int, condition: Condition = Condition.READY) -> Listing:
+        zone = ZONES[unit.mark % len(ZONES)]
+        return Listing(unit, zone, unit.mark % 60, "std", 1, build, 1.0, condition)
+
+    def run(self, seconds: float, beats: bool = True) -> None:
+        """Lets the clock go on; each call is counted under its own name."""
+        end, meter, collecting = self.now + int(seconds * SECOND), self.meter, gc.isenabled()
+        gc.disable()  # what it costs grows with all that a process holds: the resident and real runs count it
+        try:
+            while self._due <= end:
+                self._until(int(self._due))
+                lane, member = self._chance.choice(self.lanes), self._chance.choice(self.members)
+                lookup = Lookup(lane, member, None, self.now, self.now + lane.outer_limit)
+                self.asked += 1
+                meter.start()
+                self.relay.take(lookup)
+                meter.stop("take")
+                self._carry()
+                self._due += self._gap
+            self._until(end)
+        finally:
+            if collecting:
+                gc.enable()
+
+    def _until(self, when: Ticks) -> None:
+        while self._heap and self._heap[0][0] <= when:
+            at, _, what = heappop(self._heap)
+            self.now = self.relay.now = max(self.now, at)
+            self._happen(what)
+        self.now = self.relay.now = max(self.now, when)
+
+    def _happen(self, what: Any) -> None:
+        meter = self.meter
+        if isinstance(what, Trip):
+            if what.fate is None:
+                good = self._chance.randrange(FAULTY) > 0
+                fate = Fate.DONE if good else Fate.ERROR
+                meter.start()
+                self.relay.ended(what, fate, good, self.now - what.sent, None)
+                meter.stop("outcome")
+        elif isinstance(what, Unit):
+            meter.start()
+            self.relay.probed(what, Fate.DONE, 10, {"waiting": 0.0, "rps": 14.0})
+            meter.stop("probed")
+        elif what is None:
+            meter.start()
+            self.relay.wake(None)
+            meter.stop("beat")
+            if self.now >= self._told + SECOND * 4 // 5:
+                self._told = self.now
+                words = [Load(unit, 2) for unit in self._chance.sample(self.units, min(83, len(self.units)))]
+                meter.start()
+                self.relay.heard(0, [*words, Pace(TOOK)])
+                meter.stop("told")
+        elif not what.over:
+            meter.start()
+            self.relay.wake(what)
+            meter.stop("woken")
+        self._carry()
+
+    def _carry(self) -> None:
+        acts, self.relay.acts = self.relay.acts, []
+        for act in acts:
+            self._number += 1
+            match act:
+                case Send(trip):
+                    self.sent += 1
+                    heappush(self._heap, (self.now + TOOK, self._number, trip))
+                case Wake(at, what):
+                    heappush(self._heap, (at, self._number, what))
+                case Probe(unit):
+                    heappush(self._heap, (self.now + 10, self._number, unit))
+                case CallOff(trip):
+                    trip.fate = Fate.CALLED_OFF
--- /dev/null
+++ b/benchmarks/slopes/lists.py
@@ -0,0 +1,103 @@
+"""What discovery's lists cost one relay: bytes on the wire, decoding, taking in; whole ones and changes."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import msgspec
+
+from benchmarks.slopes.hollow_relay import NEWS, UNITS, ZONES, driver, opening, settings
+from benchmarks.slopes.series import Series, processor_us, traced_mb
+from lanelead.http import writing
+from lanelead.node.feeds import LONGEST
+from lanelead.protocols.platform import Endpoint, Endpoints, listed
+from lanelead.protocols.records import decode
+from lanelead.relay.driver import Driver
+
+TENTH = 0.1
+
+
+def endpoint(place: int, state: str = "active", port: int = 5432) -> Endpoint:
+    """A unit on an address of its own, in 127/8; its fields as long as a platform's."""
+    number = place + 1
+    return Endpoint(
+        id=f"offers-{place % 300:03d}-{place:05d}", addr=f"127.1.{number >> 8}.{number & 255}:{port}",
+        state=state, zone=ZONES[place % len(ZONES)], kind="std-2c", cell=place % 60, weight=1.0,  # type: ignore[arg-type]
+        started_ms=1_790_000_000_000.0 + place, revision_no=NEWS["build"],
+    )  # fmt: skip
+
+
+def body(version: int, full: bool, units: list[Endpoint]) -> bytes:
+    return msgspec.json.encode(Endpoints(version, full, units))
+
+
+def answer(text: bytes) -> int:
+    """Bytes of discovery's answer, as HTTP."""
+    return len(writing.answer(200, (), text, keep=False))
+
+
+def decoded(text: bytes) -> None:
+    listed(decode(text, Endpoints, LONGEST))
+
+
+def taken_in(driver: Driver, texts: list[bytes]) -> float:
+    """Microseconds for one of the lists, which are taken in again and again, in turn."""
+    lists = [listed(decode(text, Endpoints, LONGEST)) for text in texts]
+
+    def all_of_them() -> None:
+        for each in lists:
+            driver.listed(each, 0)
+
+    return processor_us(all_of_them) / len(lists)
+
+
+def filled(texts: list[bytes]) -> Driver:
+    made = driver(opening(settings()))
+    for text in texts:
+        made.listed(listed(decode(text, Endpoints, LONGEST)), 0)
+    return made
+
+
+def measure(small: bool) -> list[Series]:
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    for size in (26, 150) if small else UNITS:
+        whole = body(1, True, [endpoint(place) for place in range(size)])
+        parts = {"one": 1, "tenth": max(1, round(TENTH * size))}
+        changes = {
+            name: [
+                body(2, False, [endpoint(place, state) for place in range(many)])
+                for state in ("leaving", "active")
+            ]
+            for name, many in parts.items()
+        }
+        held, made = traced_mb(partial(filled, [whole]))
+        row = {
+            ("whole.bytes", "B"): answer(whole),
+            ("whole.decode", "us"): processor_us(partial(decoded, whole)),
+            ("whole.take-in", "us"): taken_in(made, [whole]),
+            ("memory", "MB"): held,
+        }
+        for name, texts in changes.items():
+            row[f"{name}.bytes", "B"] = sum(map(answer, texts)) / len(texts)
+            row[f"{name}.decode", "us"] = processor_us(partial(decoded, texts[0]))
+            row[f"{name}.take-in", "us"] = taken_in(made, texts)
+        for at, value in row.items():
+            points.setdefault(at, []).append((size, round(value, 3)))
+    held_fixed = (
+        "one flat list; addresses in 127/8, no fields but the platform's; driver and decisions real, hands "
+        "hollow, clock still, no lookup under way, no steps kept"
+    )
+    notes = {
+        "whole": "the whole list, all units known before and unchanged",
+        "one": "a change of one unit, to leaving and back",
+        "tenth": "a change of a tenth of the units, to leaving and back",
+        "memory": "traced; driver, names and decisions after one whole list, nothing asked yet",
+    }
+    kinds = {"bytes": "the answer as HTTP, without the call", "decode": "JSON to the driver's rows"}
+    kinds["take-in"] = "Driver.listed, up to the decisions' last act"
+    return [
+        Series("lists", name, unit, "units", rows, "; ".join(
+            filter(None, (notes[name.partition(".")[0]], kinds.get(name.partition(".")[2]), held_fixed))
+        ))
+        for (name, unit), rows in points.items()
+    ]  # fmt: skip
