Slopes: latency over real processes; a fit bears zeros; tests

Cause: time added is to be known at 183 and 915 requests a second; the fit raised LinAlgError where a point is zero (found by the new test). Change: subject latency (two relays and a straight connection in one run, processor time from /proc, quantiles by slices of 2 s); the fit's weights differ by 10^4 at most; the entry runs main() only as a program, so that tests can import keep().

--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -97,4 +97,5 @@
         plot(subject, [series for series in found if series.subject == subject], out)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/benchmarks/slopes/hollow_fleet.py
+++ b/benchmarks/slopes/hollow_fleet.py
@@ -23,6 +23,7 @@
 from lanelead.pgwire.messages import READY, WELCOME, message
 
 HOLD = 2.0  # seconds that discovery holds a watch
+SPEAKS = 1.0  # and after which the desk says again where the build stands: silence would pass for a fault
 VALUE = b"x" * 100
 ROW = (
     message(b"T", b"\0\1doc\0" + bytes(17) + b"\1")
@@ -64,7 +65,7 @@
 
 
 class Desk(asyncio.Protocol):
-    """Tells whoever watches where the build stands, once; takes each vote."""
+    """Tells whoever watches where the build stands, once a second; takes each vote."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport: Any = transport
@@ -78,8 +79,13 @@
             answer: dict[str, Any] = {"jsonrpc": "2.0", "id": call["id"], "result": True if watch else NEWS}
             self._transport.write(msgspec.json.encode(answer) + b"\n")
             if watch:
-                told = {"jsonrpc": "2.0", "method": "stage", "params": NEWS}
-                self._transport.write(msgspec.json.encode(told) + b"\n")
+                self._tell()
+
+    def _tell(self) -> None:
+        if not self._transport.is_closing():
+            told = {"jsonrpc": "2.0", "method": "stage", "params": NEWS}
+            self._transport.write(msgspec.json.encode(told) + b"\n")
+            asyncio.get_running_loop().call_later(SPEAKS, self._tell)
 
 
 def discovery(size: int, port: int) -> Any:
--- /dev/null
+++ b/benchmarks/slopes/latency.py
@@ -0,0 +1,270 @@
+"""What a relay adds to a request, by units in its list: processor time counted, and times as ratios.
+
+Real processes on loopback: a hollow fleet, a relay with 26 units, a relay with more, and this process, which
+asks both and, straight, one unit, each at the same rate and in the same run. Requests are due at drawn times,
+and timed from then. Units answer at once, so that the time through a relay is what it adds, and loopback's.
+Quantiles are taken of slices of a run, and the median over slices counts: the machine's own bursts pass.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import subprocess
+import sys
+import tempfile
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from statistics import median
+from typing import Any
+
+import msgspec
+import numpy as np
+import uvloop
+
+from benchmarks.slopes.hollow_fleet import Ports
+from benchmarks.slopes.hollow_relay import NUMBER, RATE, RELAYS, UNITS
+from benchmarks.slopes.series import Series
+from benchmarks.slopes.tenants import Node, config, free_port, spent_s
+from lanelead.pgwire.messages import READY, query, startup
+
+RATES = (RATE, 5 * RATE)
+CONNECTIONS = 32
+WARM, WINDOW, SLICE, QUIET = 9.0, 16.0, 2.0, 4.0  # seconds; in the first, connections to units come up
+SOCKETS = 8192  # of a relay: enough for one connection to each unit that it picks from
+TEXT = b"SELECT doc FROM items WHERE id = 'ab12' /* id=%d,c=status,t=tenant-00000,d=5000 */"
+
+
+class Asker(asyncio.Protocol):
+    """One connection to a relay or a unit; one request at a time."""
+
+    def __init__(self, target: Target) -> None:
+        self._target, self._rest, self.due = target, b"", -1.0
+        self.transport: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self.transport.write(startup("app", "shop"))
+
+    def data_received(self, data: bytes) -> None:
+        self._rest += data
+        if self._rest.endswith(READY):
+            good, self._rest = self._rest[:1] == b"T", b""
+            if self.due >= 0:
+                self._target.answered(self.due, good)
+            self.due = -1.0
+            self._target.free(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.due >= 0:
+            self._target.answered(self.due, False)
+        elif self in self._target.idle:
+            self._target.idle.remove(self)
+
+
+@dataclass
+class Target:
+    """Who is asked. Of each good answer since `clear`: when it was due, and milliseconds from then."""
+
+    port: int
+    host: str = "127.0.0.1"
+    took: list[tuple[float, float]] = field(default_factory=list)
+    bad: int = 0
+    asked: int = 0
+    idle: deque[Asker] = field(default_factory=deque)  # the one idle longest first: none idles out
+    line: deque[float] = field(default_factory=deque)
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        for _ in range(CONNECTIONS):
+            await loop.create_connection(lambda: Asker(self), self.host, self.port)
+
+    def clear(self) -> None:
+        self.took, self.bad = [], 0
+
+    def ask(self, due: float) -> None:
+        """Timed from when it was due: a stall is not left out."""
+        if not self.idle:
+            self.line.append(due)
+            return
+        asker = self.idle.popleft()
+        asker.due, self.asked = due, self.asked + 1
+        asker.transport.write(query(TEXT % self.asked))  # a relay takes no id twice at a time
+
+    def answered(self, due: float, good: bool) -> None:
+        if good:
+            self.took.append((due, (time.perf_counter() - due) * 1000))
+        else:
+            self.bad += 1
+
+    def free(self, asker: Asker) -> None:
+        self.idle.append(asker)
+        if self.line:
+            self.ask(self.line.popleft())
+
+    def close(self) -> None:
+        for asker in list(self.idle):
+            asker.transport.close()
+
+    def slices(self, begin: float, many: int, part: float) -> list[float]:
+        """A quantile of each slice of the run, ms; a slice without an answer has none."""
+        found: list[list[float]] = [[] for _ in range(many)]
+        for due, took in self.took:
+            found[min(many - 1, int((due - begin) / SLICE))].append(took)
+        return [float(np.percentile(some, part)) if some else float("nan") for some in found]
+
+
+async def drive(targets: list[Target], rate: float, seconds: float, chance: Random) -> tuple[float, float]:
+    """Asks each at its own drawn times, and says when it began, and how late a request was handed over in 1
+    of 100, ms."""
+    begin, late = time.perf_counter(), list[float]()
+    dues = sorted((at, place) for place in range(len(targets)) for at in drawn(rate, seconds, chance))
+    for at, place in dues:
+        if (wait := begin + at - time.perf_counter()) > 0:
+            await asyncio.sleep(wait)
+        late.append(time.perf_counter() - begin - at)
+        targets[place].ask(begin + at)
+    await asyncio.sleep(0.1)
+    return begin, float(np.percentile(late, 99)) * 1000
+
+
+def drawn(rate: float, seconds: float, chance: Random) -> list[float]:
+    found, at = list[float](), 0.0
+    while (at := at + chance.expovariate(rate)) < seconds:
+        found.append(at)
+    return found
+
+
+@dataclass
+class Found:
+    """Of one relay at one rate: microseconds of processor time a request, and the share not answered well; by
+    slices, the median and the 99th of 100, ms, through it and straight to a unit; how late the generator was.
+    """
+
+    cpu: float
+    failed: float
+    took: tuple[list[float], list[float]]
+    straight: tuple[list[float], list[float]]
+    late: float
+
+
+def node(units: int, ports: Ports, folder: Path) -> tuple[Node, int]:
+    file, port, letters = folder / f"relay-{units}.json", free_port(), free_port()
+    told = config(
+        3, port, units, discovery=f"127.0.0.1:{ports.discoveries[units]}", units_port=ports.units,
+        peer_listen=f"127.0.0.1:{letters}",
+        peers=[f"127.0.0.1:{letters if place == NUMBER else ports.sink}" for place in range(RELAYS)],
+    )  # fmt: skip
+    told["platform"]["address"] = f"127.0.0.1:{ports.desk}"
+    told["limits"]["sockets"] = SOCKETS
+    file.write_bytes(msgspec.json.encode(told))
+    made = Node(file, folder / f"relay-{units}.log")
+    made.until("listening")
+    return made, port
+
+
+async def compare(
+    small: int, large: int, ports: Ports, folder: Path, hasty: bool
+) -> tuple[dict[int, float], dict[tuple[float, int], Found]]:
+    """Two relays in one run: the share of a core that each uses unasked, and figures by rate and units."""
+    nodes, quiet, found = dict[int, Node](), dict[int, float](), dict[tuple[float, int], Found]()
+    targets = {0: Target(ports.units, "127.1.0.1")}
+    warm, window, still = (2.0, 3.0, 1.0) if hasty else (WARM, WINDOW, QUIET)
+    chance = Random(f"{small} {large}")
+    try:
+        for units in (small, large):
+            nodes[units], port = await asyncio.to_thread(node, units, ports, folder)
+            targets[units] = Target(port)
+        await asyncio.sleep(1.0)
+        before = {units: spent_s(one.pid) for units, one in nodes.items()}
+        await asyncio.sleep(still)
+        quiet = {units: (spent_s(one.pid) - before[units]) / still for units, one in nodes.items()}
+        for target in targets.values():
+            await target.open()
+        for rate in RATES:
+            await drive([*targets.values()], rate, warm, chance)
+            for target in targets.values():
+                target.clear()
+            before = {units: spent_s(one.pid) for units, one in nodes.items()}
+            begin, late = await drive([*targets.values()], rate, window, chance)
+            many = max(1, round(window / SLICE))
+            parts = {
+                units: (target.slices(begin, many, 50), target.slices(begin, many, 99))
+                for units, target in targets.items()
+            }
+            for units, one in nodes.items():
+                target, cpu = targets[units], spent_s(one.pid) - before[units]
+                answers = len(target.took) + target.bad
+                waiting = len(target.line) + CONNECTIONS - len(target.idle)
+                failed = (target.bad + waiting) / max(1, answers + waiting)
+                found[rate, units] = Found(cpu / max(1, answers) * 1e6, failed, parts[units], parts[0], late)
+    finally:
+        for target in targets.values():
+            target.close()
+        for one in nodes.values():
+            await asyncio.to_thread(one.end)
+    return quiet, found
+
+
+def measure(small: bool) -> list[Series]:
+    sizes = UNITS[:2] if small else UNITS
+    words = [sys.executable, "-m", "benchmarks.slopes.hollow_fleet", *map(str, sizes)]
+    with (
+        tempfile.TemporaryDirectory() as name,
+        subprocess.Popen(words, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as fleet,
+    ):
+        assert fleet.stdin is not None and fleet.stdout is not None
+        ports = msgspec.json.decode(fleet.stdout.readline(), type=Ports)
+        runs = [uvloop.run(compare(sizes[0], size, ports, Path(name), small)) for size in sizes[1:]]
+        fleet.stdin.close()
+    return series(sizes, runs)
+
+
+def series(
+    sizes: tuple[int, ...], runs: list[tuple[dict[int, float], dict[tuple[float, int], Found]]]
+) -> list[Series]:
+    least, made = sizes[0], list[Series]()
+    setting = (
+        f"real relay process, {RELAYS} relays told of, letters sent to a sink and none heard, hollow units "
+        f"that answer at once, three tenants, {SOCKETS} sockets, loopback, a machine that did other work too"
+    )
+
+    def add(name: str, unit: str, points: list[tuple[float, float]], note: str) -> None:
+        rows = [(size, round(value, 4)) for size, value in points if not math.isnan(value)]
+        missing = ", ".join(f"{size:g}" for size, value in points if math.isnan(value))
+        note = f"not reached: {missing}, too much work for one process; {note}" if missing else note
+        made.append(Series("latency", name, unit, "units", rows, f"{note}; {setting}"))
+
+    quiet = [(least, median(one[0][least] for one in runs))]
+    quiet += [(size, one[0][size]) for size, one in zip(sizes[1:], runs, strict=True)]
+    add("quiet.share", "share", [*quiet], "of a core, nothing asked: beats, letters and feeds")
+    for rate in RATES:
+        pairs = [
+            (size, one[1][rate, least], one[1][rate, size]) for size, one in zip(sizes[1:], runs, strict=True)
+        ]
+        cpu: list[tuple[float, float]] = [(least, median(low.cpu for _, low, _ in pairs))]
+        cpu += [(size, high.cpu) for size, _, high in pairs]
+        told = "; ".join(
+            f"{size}: not answered well {high.failed:.1%}, {ms(high.took)} ms, {ms(low.took)} before "
+            f"{least}, {ms(high.straight)} straight, handed over {high.late:.2f} ms late in 1 of 100"
+            for size, low, high in pairs
+        )
+        add(f"at-{rate:g}.cpu", "us", cpu, f"of the relay, a request, beats and letters in it; {told}")
+        for place, part in ((0, "median"), (1, "99th")):
+            ratio: list[tuple[float, float]] = [(least, 1.0)]
+            for size, low, high in pairs:
+                both = zip(high.took[place], low.took[place], strict=True)
+                ratio.append((size, median(large / small for large, small in both)))
+            add(
+                f"at-{rate:g}.{part}", "ratio", ratio,
+                f"the {part} through the relay over that before {least} units, in the same {SLICE:g} s; "
+                f"the median of such slices; {told}",
+            )  # fmt: skip
+    return made
+
+
+def ms(took: tuple[list[float], list[float]]) -> str:
+    return " and ".join("?" if math.isnan(median(some)) else f"{median(some):.2f}" for some in took)
--- a/benchmarks/slopes/series.py
+++ b/benchmarks/slopes/series.py
@@ -23,9 +23,10 @@
 class Series(msgspec.Struct, frozen=True):
     """One quantity against one size.
 
-    `name`: dotted, unique in its subject, as `hub.heard.cpu`. `unit`: `us`, `B`, `B/s`, `MB`, `s`, `count`
-    or `share`. `by`: what the size counts (`units`, `relays`, `tenants`, `routes`, ...). `points`: size and
-    measured value, in rising order. `note`: what was held fixed, what is hollow, what was not reached.
+    `name`: dotted, unique in its subject, as `hub.heard.cpu`. `unit`: `us`, `B`, `B/s`, `MB`, `s`, `count`,
+    `share` or `ratio`. `by`: what the size counts (`units`, `relays`, `tenants`, `routes`, ...). `points`:
+    size and measured value, in rising order. `note`: what was held fixed, what is hollow, what was not
+    reached.
     """
 
     subject: str
@@ -60,7 +61,8 @@
     sizes, values = (np.array(column, dtype=float) for column in zip(*points, strict=True))
     if len(points) < 2:
         return Fit(float(values[0]), 0.0, float("nan"), float("nan"), float("nan"), float(sizes[-1]))
-    weights = 1 / np.maximum(np.abs(values), 1e-9)
+    # Guards against a zero, whose relative error is without bound: no point weighs 10^4 times another.
+    weights = 1 / np.maximum(np.abs(values), np.max(np.abs(values)) * 1e-4 or 1.0)
     table = np.stack([np.ones_like(sizes), sizes], axis=1) * weights[:, None]
     (start, slope), *_ = np.linalg.lstsq(table, values * weights, rcond=None)
     spread = power = power_spread = float("nan")
--- a/benchmarks/slopes/tenants.py
+++ b/benchmarks/slopes/tenants.py
@@ -45,9 +45,12 @@
     timeout_ms: float
 
 
-def config(tenants: int, port: int, units: int = UNITS, **more: Any) -> dict[str, Any]:
+def config(
+    tenants: int, port: int, units: int = UNITS, units_port: int = 5432, **more: Any
+) -> dict[str, Any]:
     """What a relay of the platform is told by its file."""
-    known = {"version": 1, "full": True, "servers": [endpoint(place) for place in range(units)]}
+    rows = [endpoint(place, port=units_port) for place in range(units)]
+    known = {"version": 1, "full": True, "servers": rows}
     return {
         "name": "relay-300", "listen": f"127.0.0.1:{port}", "seed": "7f", "discovery": NOBODY,
         "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024},
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,114 @@
+"""The slopes: fits on known points, how points are kept, and two subjects at their small sizes."""
+
+from __future__ import annotations
+
+import math
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from benchmarks.slopes import lists, tenants
+from benchmarks.slopes.__main__ import keep, kept
+from benchmarks.slopes.hollow_relay import Town
+from benchmarks.slopes.series import Series, fit
+
+
+class Fits(unittest.TestCase):
+    def test_a_line_through_linear_points(self) -> None:
+        line = fit([(size, 5 + 0.25 * size) for size in (10, 100, 1000, 10_000)])
+        self.assertAlmostEqual(line.start, 5, places=6)
+        self.assertAlmostEqual(line.slope, 0.25, places=9)
+        self.assertLess(line.slope_spread, 1e-9)
+        self.assertAlmostEqual(line.at(20_000), 5005, places=3)
+        self.assertEqual(line.largest, 10_000)
+
+    def test_the_exponent_of_a_power_law(self) -> None:
+        line = fit([(size, 3 * size**2) for size in (8, 40, 200, 600)])
+        self.assertAlmostEqual(line.power, 2, places=9)
+        self.assertLess(line.power_spread, 1e-6)
+
+    def test_what_scatters_has_a_spread(self) -> None:
+        line = fit([(10, 12.0), (100, 90.0), (1000, 1150.0)])
+        self.assertGreater(line.slope_spread, 0)
+        self.assertLess(abs(line.slope - 1), 3 * line.slope_spread)
+
+    def test_few_points_have_no_spread(self) -> None:
+        one, two = fit([(26, 7.0)]), fit([(10, 20.0), (20, 40.0)])
+        self.assertEqual((one.start, one.slope, one.largest), (7, 0, 26))
+        self.assertAlmostEqual(two.slope, 2)
+        for line in (one, two):
+            self.assertTrue(math.isnan(line.slope_spread))
+            self.assertTrue(math.isnan(line.power))
+
+    def test_a_zero_among_the_points(self) -> None:
+        line = fit([(1, 0.0), (10, 9.0), (100, 99.0)])
+        self.assertTrue(math.isnan(line.power))
+        self.assertAlmostEqual(line.slope, 1, places=6)
+        flat = fit([(1, 0.0), (10, 0.0), (100, 0.0)])
+        self.assertEqual((flat.start, flat.slope), (0, 0))
+
+
+class Kept(unittest.TestCase):
+    def test_a_run_replaces_its_own_series_only(self) -> None:
+        old = [Series("b", "x", "us", "units", [(1, 1)]), Series("a", "y", "us", "units", [(1, 2)])]
+        new = [Series("b", "x", "us", "units", [(1, 3), (2, 4)], "again")]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "capacity" / "slopes.json"
+            keep(path, old)
+            found = keep(path, new)
+            self.assertEqual(kept(path), found)
+        self.assertEqual([(each.subject, each.name) for each in found], [("a", "y"), ("b", "x")])
+        self.assertEqual(found[1], msgspec.structs.replace(new[0], points=[(1, 3), (2, 4)]))
+        self.assertEqual(found[0].points, [(1, 2)])
+
+
+class Subjects(unittest.TestCase):
+    def check(self, subject: str, found: list[Series]) -> dict[str, Series]:
+        names = {series.name: series for series in found}
+        self.assertEqual(len(names), len(found))
+        for series in found:
+            sizes = [size for size, _ in series.points]
+            self.assertEqual(series.subject, subject)
+            self.assertGreaterEqual(len(sizes), 2, series.name)
+            self.assertEqual(sizes, sorted(set(sizes)), series.name)
+            self.assertTrue(all(math.isfinite(value) and value >= 0 for _, value in series.points), series)
+            self.assertTrue(series.note, series.name)
+        return names
+
+    def test_lists(self) -> None:
+        began = time.process_time()
+        names = self.check("lists", lists.measure(small=True))
+        self.assertLess(time.process_time() - began, 60)
+        for name in ("whole.bytes", "memory"):  # what does not hang on a clock
+            (small, least), (large, most) = names[name].points
+            self.assertGreater(most, least, name)
+            self.assertLess(most / least, large / small * 1.1, name)
+        self.assertEqual(len({value for _, value in names["one.bytes"].points}), 1)
+
+    def test_tenants(self) -> None:
+        began = time.process_time()
+        names = self.check("tenants", tenants.measure(small=True))
+        self.assertLess(time.process_time() - began, 60)
+        self.assertEqual({series.by for series in names.values()}, {"tenants", "routes"})
+        for name in ("file.bytes", "state.memory", "routes.bytes", "routes.memory"):
+            (_, least), (_, most) = names[name].points
+            self.assertGreater(most, least, name)
+        self.assertIn("none", names["routes.memory"].note)
+
+    def test_a_hollow_relay_answers_all_that_it_is_asked(self) -> None:
+        town = Town(26)
+        town.run(5)  # until it knows what its units do, it sends little to each
+        town.meter.clear()
+        asked, sent = town.asked, town.sent
+        town.run(5)
+        self.assertEqual(town.asked - asked, town.meter.calls["take"])
+        self.assertAlmostEqual(town.asked - asked, 5 * 183, delta=2)
+        self.assertGreaterEqual(town.sent - sent, town.asked - asked)
+        self.assertAlmostEqual(town.meter.calls["beat"], 25, delta=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
