Relays follow the configuration, and take tenants and classes' figures at SIGHUP

Change: a file's section configuration makes a relay follow machines (node/configuration.py), off without it; what comes into force is put into the front's tenants, the classes and the decisions' figures (node/inforce.py); SIGHUP puts the same of the file in force. A machine names, in its first line, the version whose digest a follower named.

--- a/lanelead/configuration/service.py
+++ b/lanelead/configuration/service.py
@@ -348,10 +348,16 @@
                     # Guards against memory that fills with lines for one that does not read.
                     caller.reset()
                     break
-                if watcher.position not in lines:
+                if watcher.told < 0 and watcher.position is not None:  # of which version its digest is
                     line, after = source.line(watcher.position, now)
-                    lines[watcher.position] = chunk(encode(line) + b"\n"), after
-                data, after = lines[watcher.position]
+                    line = msgspec.structs.replace(line, at=watcher.position)
+                    data = chunk(encode(line) + b"\n")
+                elif watcher.position not in lines:
+                    line, after = source.line(watcher.position, now)
+                    data = chunk(encode(line) + b"\n")
+                    lines[watcher.position] = data, after
+                else:
+                    data, after = lines[watcher.position]
                 caller.write(data)
                 watcher.position, watcher.told = after, now
 
--- a/lanelead/node/config.py
+++ b/lanelead/node/config.py
@@ -29,6 +29,23 @@
     news: State
 
 
+class SourceAt(msgspec.Struct, frozen=True):
+    address: str
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64)] = ""
+
+
+class Following(msgspec.Struct, frozen=True):
+    """The section `configuration` of a relay's file; without it nothing is followed."""
+
+    sources: Annotated[list[SourceAt], Meta(min_length=1, max_length=64)]
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64)] = ""
+    catch_up_bytes_per_s: Annotated[float, Meta(ge=1024, le=1e9)] = 65536.0
+    most_entries: Annotated[int, Meta(ge=1, le=10_000_000)] = 200_000
+    most_bytes: Annotated[int, Meta(ge=1024, le=1 << 33)] = 64 << 20
+
+
 class Config(msgspec.Struct, frozen=True):
     name: str
     listen: str
@@ -41,6 +58,7 @@
     peer_listen: str = ""
     peers: list[str] = []
     peers_all: str = ""
+    configuration: Following | None = None
 
     @property
     def opening(self) -> Opening:
@@ -60,6 +78,8 @@
         _address("peer_listen", config.peer_listen)
     for number, text in enumerate(config.peers):
         _address(f"peers.{number}", text)
+    for number, source in enumerate(config.configuration.sources if config.configuration else ()):
+        _address(f"configuration.sources.{number}.address", source.address)
     try:
         int(config.seed, 16)
     except ValueError:
--- a/lanelead/node/configuration.py
+++ b/lanelead/node/configuration.py
@@ -6,19 +6,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from contextlib import suppress
 from random import Random
-from typing import Annotated, Any
-
-import msgspec
-from msgspec import Meta
+from typing import Any
 
 from lanelead.configuration.acts import AskBuckets, AskOutline, InForce, Leave, Note, Place, Told, Watch
 from lanelead.configuration.document import Document, Refused
 from lanelead.configuration.follower import ANSWER, SILENCE, Follower
 from lanelead.configuration.kinds import InForce as Values
+from lanelead.configuration.kinds import Value
 from lanelead.http.calls import Failed, call, stream
+from lanelead.node.config import Following
 from lanelead.protocols.configuration import Buckets, Line, Outline
 from lanelead.protocols.platform import address
 from lanelead.protocols.records import Malformed, decode, encode
@@ -27,23 +26,6 @@
 LONGEST = 4 << 20  # bytes of an answer
 
 
-class SourceAt(msgspec.Struct, frozen=True):
-    address: str
-    zone: Annotated[str, Meta(max_length=64)] = ""
-    region: Annotated[str, Meta(max_length=64)] = ""
-
-
-class Following(msgspec.Struct, frozen=True):
-    """The section `configuration` of a relay's file; without it nothing is followed."""
-
-    sources: Annotated[list[SourceAt], Meta(min_length=1, max_length=64)]
-    zone: Annotated[str, Meta(max_length=64)] = ""
-    region: Annotated[str, Meta(max_length=64)] = ""
-    catch_up_bytes_per_s: Annotated[float, Meta(ge=1024, le=1e9)] = 65536.0
-    most_entries: Annotated[int, Meta(ge=1, le=10_000_000)] = 200_000
-    most_bytes: Annotated[int, Meta(ge=1024, le=1 << 33)] = 64 << 20
-
-
 class Feed:
     """`changed` is called with the keys whose values in force have changed; `values` holds all that are."""
 
@@ -53,7 +35,7 @@
         number: int,
         following: Following,
         entries: Sequence[tuple[str, bytes]],
-        changed: Callable[[Sequence[str]], None],
+        changed: Callable[[Sequence[str], Mapping[str, Value]], None],
         chance: Random,
         log: Any,
     ) -> None:
@@ -116,7 +98,7 @@
         self.follower.refused = list(self.values.refused)
         self.follower.refusals = self.values.refusals
         if changed:
-            self._changed(changed)
+            self._changed(changed, self.values.values)
 
     def _start(self, work: Coroutine[Any, Any, None], source: int | None) -> None:
         task = self._loop.create_task(work)
--- /dev/null
+++ b/lanelead/node/inforce.py
@@ -0,0 +1,70 @@
+"""Tenants' and classes' figures put in force at a running relay: as its file says at SIGHUP, or as the
+configuration that it follows does. Nothing here decides."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from lanelead.configuration.kinds import ClassFigures, Tenant, Value, split
+from lanelead.decisions.interface import Lane, Member
+
+TENANTS, CLASSES = "accounts", "requestClasses"  # where a file has them
+FIGURES = {"aimMs": "aim_ms", "deadlineMs": "deadline_ms", "credit": "credit", "lateWorth": "late_worth"}
+
+
+def entries(settings: Mapping[str, Any]) -> list[tuple[str, bytes]]:
+    """What a file's settings say, as entries of a configuration."""
+    found = list[tuple[str, bytes]]()
+    for row in settings.get(TENANTS) or ():
+        value = {"quota_per_s": row.get("quotaPerS") or 0.0, "share": row.get("share") or 0.0}
+        found.append((f"tenant/{row.get('name', '-')}", msgspec.json.encode(value)))
+    for row in settings.get(CLASSES) or ():
+        figures = {name: row[field] for field, name in FIGURES.items() if row.get(field) is not None}
+        found.append((f"class/{row.get('name', '-')}", msgspec.json.encode(figures)))
+    return found
+
+
+def without_figures(settings: Mapping[str, Any]) -> list[dict[str, Any]]:
+    """The classes, but for what may change without a restart."""
+    return [
+        {field: value for field, value in row.items() if field not in FIGURES}
+        for row in settings.get(CLASSES) or ()
+    ]
+
+
+class InForce:
+    """`members` and `lanes` are the relay's own tables, by name; `retold` hears the sum of all quotas."""
+
+    def __init__(
+        self, members: dict[str, Member], lanes: Mapping[str, Lane], retold: Callable[[float], None]
+    ) -> None:
+        self._members, self._lanes, self._retold = members, lanes, retold
+
+    def put(self, keys: Iterable[str], values: Mapping[str, Value]) -> list[str]:
+        """Puts these keys' values in force; gives those that name no class of the settings. A lookup under
+        way keeps the time limit that it was taken with."""
+        unknown = list[str]()
+        for key in keys:
+            kind, name = split(key)
+            value = values.get(key)
+            if kind == "tenant":
+                self._tenant(name, value)
+            elif kind == "class" and name not in self._lanes:
+                unknown.append(key)
+            elif isinstance(value, ClassFigures):
+                lane = self._lanes[name]
+                lane.expected_time, lane.outer_limit = int(value.aim_ms * 10), int(value.deadline_ms * 10)
+                lane.value, lane.late_value = value.credit, value.late_worth
+        self._retold(sum(member.quota for member in self._members.values()))
+        return unknown
+
+    def _tenant(self, name: str, value: Value | None) -> None:
+        if not isinstance(value, Tenant):
+            self._members.pop(name, None)
+        elif (member := self._members.get(name)) is not None:
+            member.quota, member.share = value.quota_per_s, value.share
+        else:
+            self._members[name] = Member(name, value.quota_per_s, value.share)
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -6,18 +6,24 @@
 import gc
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import msgspec
+
+from lanelead.configuration.document import Document
+from lanelead.configuration.kinds import InForce as Values
+from lanelead.configuration.kinds import Value
 from lanelead.decisions.interface import Fate, Trip, Unit, Vote
 from lanelead.decisions.rules import Relay
 from lanelead.node import config as configuration
-from lanelead.node.config import Config
+from lanelead.node.config import Config, Following
 from lanelead.node.desk import Desk
 from lanelead.node.feeds import Discovery, Held
 from lanelead.node.front import Front
 from lanelead.node.handover import Succession
+from lanelead.node.inforce import CLASSES, TENANTS, InForce, entries, without_figures
 from lanelead.node.letters import Letters
 from lanelead.node.links import Links
 from lanelead.protocols.platform import address, listed
@@ -25,6 +31,9 @@
 from lanelead.relay.driver import Driver, Ticket
 from lanelead.relay.timing import Clock
 
+if TYPE_CHECKING:
+    from lanelead.node.configuration import Feed
+
 SPARE = 24  # descriptors for listening, feeds, letters, the log and the interpreter
 CLIENTS = 0.5  # of the other descriptors; the rest go to units
 VALUE = 65536  # bytes of the largest value
@@ -53,7 +62,6 @@
         members, poll, place = opening.members(), opening.poll(), opening.place()
         self._answer_limit, trial = poll.answer_limit / 10_000, opening.trial()
         self._stages = len(trial.shares)
-        self._longest = max(lane.outer_limit for lane in lanes) / 10_000
         self._clock = Clock(self._loop, lambda: self.driver.due(), self._tick)
         decisions = Relay(
             place=place,
@@ -70,6 +78,9 @@
         self.driver = Driver(
             decisions, self, self._clock.now, lanes, duties, allowance.open_lookups, allowance.longest_advice
         )
+        tenants = {member.name: member for member in members}
+        self._in_force = InForce(tenants, self.driver.lanes, decisions.figures.retold)
+        self._following: Feed | None = None
         room = max(8, config.limits.sockets - SPARE)
         clients = int(room * CLIENTS)
         names = frozenset(opening.words("loadReport.names"))
@@ -87,7 +98,7 @@
         self.front = Front(
             self._loop,
             self.driver,
-            {member.name: member for member in members},
+            tenants,
             clients,
             2 * VALUE + 4096,
             duties.answer_slack,
@@ -151,6 +162,8 @@
         self._feed(config)
         if config.peer_listen:
             self._letters.open(*address(config.peer_listen))
+        if config.configuration is not None:
+            self._follow(config, config.configuration)
         if not config.known.servers:
             await self._first_list()
         if not self._stop.is_set():  # told to stop before anybody could come: nothing was taken
@@ -164,6 +177,30 @@
         gc.callbacks.remove(self._collected)
         self._log.info("stopped", **self.state())
 
+    def _follow(self, config: Config, following: Following) -> None:
+        """Begins to follow the configuration: only here is its code imported."""
+        from lanelead.node.configuration import Feed
+
+        self._following = Feed(
+            self._loop,
+            config.opening.place().number,
+            following,
+            entries(config.settings),
+            self._put,
+            self._chance,
+            self._log,
+        )
+        self._task(self._following.run())
+
+    def _put(self, keys: Sequence[str], values: Mapping[str, Value]) -> None:
+        if unknown := self._in_force.put(keys, values):
+            self._log.warning(
+                "figures of classes that the settings do not have", keys=unknown[:10],
+                remedy="name the class in the file and restart the relay, or remove the key",
+            )  # fmt: skip
+        self._log.info("configuration in force", keys=len(keys), first=list(keys[:3]))
+        self.after()
+
     async def _first_list(self) -> None:
         """A moment for discovery's first answer, which comes at once where discovery is up. Without one the
         relay still listens: a refusal, harmless to repeat, is better than no answer."""
@@ -187,7 +224,8 @@
         sweeper = self._task(self._sweep())
         await self._stop.wait()
         self._log.info("draining", open=len(self.driver.tickets))
-        await self.front.drain(LINGER, min(self._longest, KILLED))
+        longest = max(lane.outer_limit for lane in self.driver.lanes.values()) / 10_000
+        await self.front.drain(LINGER, min(longest, KILLED))
         sweeper.cancel()
 
     def stop(self) -> None:
@@ -260,6 +298,7 @@
             "spoilt": links.spoilt,
             "short": links.short,
             "dropped": self._letters.dropped,
+            **({"configuration": self._following.follower.state} if self._following is not None else {}),
             "passed_over": dict(self.driver.door.marks.passed_over),
             "discovery": self._discovery.newest.up,
             "desk": self._desk.newest.up,
@@ -286,7 +325,8 @@
         names = ("name", "listen", "limits", "peer_listen", "peers", "peers_all")
         kept = [name for name in names if getattr(config, name) != getattr(self._config, name)]
         old, new = self._config.settings, config.settings
-        paths = sorted({*old, *new})
+        taken = self._take_figures(config) if self._following is None else []
+        paths = sorted(name for name in {*old, *new} if name not in taken)
         kept += [f"settings.{name}" for name in paths if old.get(name) != new.get(name)]
         self._log.info(
             "configuration read anew",
@@ -294,6 +334,28 @@
         )  # fmt: skip
         self._feed(config)
 
+    def _take_figures(self, config: Config) -> list[str]:
+        """Puts the file's tenants and classes' figures in force; gives the settings that this covers. A relay
+        that follows the configuration goes by that."""
+        old, new = self._config.settings, config.settings
+        before, now = dict(entries(old)), dict(entries(new))
+        document, values = Document(len(now) + 1, 1 << 40), Values()
+        document.load(now.items())
+        _, faults = values.take(document, list(now))
+        for fault in faults[:10]:
+            self._log.warning(
+                "a figure of the file was refused", reason=str(fault), remedy="the last good one stays"
+            )
+        unfit = {fault.key: None for fault in faults}
+        keys = [key for key in {**before, **now} if before.get(key) != now.get(key) and key not in unfit]
+        if keys:
+            self._put(keys, values.values)
+        self._config = msgspec.structs.replace(
+            self._config, settings={**old, TENANTS: new.get(TENANTS), CLASSES: new.get(CLASSES)}
+        )
+        same = without_figures(old) == without_figures(new)
+        return [TENANTS, CLASSES] if same else [TENANTS]
+
     # Hands
 
     def send(self, trip: Trip, ticket: Ticket) -> None:
--- /dev/null
+++ b/tests/test_inforce.py
@@ -0,0 +1,90 @@
+"""Tenants' and classes' figures that come into force at a running relay: by SIGHUP, and by entries."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from lanelead.configuration.kinds import ClassFigures, Tenant
+from lanelead.decisions.interface import Lane, Member, Repeat, Scope
+from lanelead.node.inforce import InForce, entries, without_figures
+from tests.platform import SETTINGS, Platform, Unit, platform
+from tests.town import live
+
+
+def rewritten(place: Platform, **settings: Any) -> None:
+    file = place.folder / "config.json"
+    config = json.loads(file.read_text())
+    config["settings"] = {**config["settings"], **settings}
+    file.write_text(json.dumps(config))
+
+
+class Entries(unittest.TestCase):
+    def test_a_file_says_the_same_as_its_entries(self) -> None:
+        found = dict(entries(SETTINGS))
+        self.assertEqual({"tenant/m", "class/read", "class/file"}, set(found))
+        self.assertEqual({"quota_per_s": 100.0, "share": 1.0}, json.loads(found["tenant/m"]))
+        self.assertEqual([], entries({}))
+        self.assertNotIn("aimMs", without_figures(SETTINGS)[0])
+
+    def test_tenants_come_change_and_go_and_the_sum_is_told(self) -> None:
+        old, sums = Member("a", 5.0, 0.1), list[float]()
+        members, lanes = {"a": old}, dict[str, Lane]()
+        here = InForce(members, lanes, sums.append)
+        self.assertEqual([], here.put(["tenant/b"], {"tenant/b": Tenant(7.0, 0.2)}))
+        here.put(["tenant/a"], {"tenant/a": Tenant(6.0, 0.3)})
+        self.assertIs(members["a"], old)  # lookups under way hold it
+        self.assertEqual((6.0, 0.3, 12.0, 13.0), (old.quota, old.share, *sums))
+        here.put(["tenant/a", "tenant/none"], {})
+        self.assertEqual((["b"], 7.0), (list(members), sums[-1]))
+
+    def test_a_class_takes_its_figures_and_one_that_nobody_named_is_given_back(self) -> None:
+        lane = Lane("read", 8000, 15000, 1.0, 0.2, Repeat.PURE, Scope.ALL, 0, False, 0.0)
+        here = InForce({}, {"read": lane}, lambda _: None)
+        figures = ClassFigures(400.0, 900.0, 2.0, 0.5)
+        self.assertEqual(
+            ["class/x"], here.put(["class/read", "class/x"], {"class/read": figures, "class/x": figures})
+        )
+        self.assertEqual(
+            (4000, 9000, 2.0, 0.5), (lane.expected_time, lane.outer_limit, lane.value, lane.late_value)
+        )
+
+
+class Hangup(unittest.TestCase):
+    @live
+    async def test_tenants_and_figures_of_the_file_are_in_force_without_a_restart(self) -> None:
+        async with platform(Unit("u0")) as place:
+            relay = place.relay
+            accounts = [
+                {"name": "m", "quotaPerS": 40.0, "share": 1.0},
+                {"name": "n", "quotaPerS": 8.0, "share": 0.1},
+            ]
+            classes = json.loads(json.dumps(SETTINGS["requestClasses"]))
+            classes[0] |= {"aimMs": 300.0, "deadlineMs": 700.0}
+            rewritten(place, accounts=accounts, requestClasses=classes, instances=5)
+            relay.reload()
+            self.assertEqual(["m", "n"], list(relay.front.members))
+            figures = relay.driver.decisions.figures
+            self.assertEqual(
+                (48.0, 24.0, 3000, 8000), (figures.quotas, figures.quota, figures.least, figures.longest)
+            )
+            (told,) = [
+                call.kwargs for call in place.log.calls if call.args and "read anew" in str(call.args[0])
+            ] or [
+                call.kwargs
+                for call in place.log.calls
+                if call.kwargs.get("event") == "configuration read anew"
+            ]
+            self.assertEqual(["settings.instances"], told["ignored_until_restart"])
+            client = await place.client()
+            self.assertTrue((await client.ask("1a"))["D"].endswith(b"value of 1a"))
+            relay.reload()  # the same once more changes nothing
+            self.assertEqual(1, place.said("configuration in force"))
+
+    @live
+    async def test_an_unfit_figure_is_refused_and_the_last_good_one_stays(self) -> None:
+        async with platform(Unit("u0")) as place:
+            rewritten(place, accounts=[{"name": "m", "quotaPerS": 30.0, "share": 7.0}])
+            place.relay.reload()
+            self.assertEqual(100.0, place.relay.driver.decisions.figures.quotas)
