Discovery's entries are refused one by one; doubt of old lists is each feed's own

Seen with discovery in the test's hand (tests/agent.py), each call kept until the test answers it: - One entry without an address, of an unknown state or out of range refused its whole list, again and again every 0.1 s: no drain was heard of any more. As `known` it kept a relay from its start (with port 0 by a traceback) and a SIGHUP from its effect. Now that entry alone is refused, counted and logged; its unit stays as it was, or drains where the entry says so. A host with a NUL in it made `connect` raise TypeError, which nobody catches in the loop: no address now. - After SIGHUP a new discovery that counts anew was never believed while the earlier one went on, whose every answer ended the doubt (Held.doubted). Now each feed doubts for itself. - Old copies of a list with silences between them were believed 2 s after the first. Now without a break only. - Each SIGHUP to an address that says nothing left one feed more, with its connection and calls. Now four. - Lists that can't be read were not counted, and from the start on not logged with their cause.

--- a/lanelead/node/feeds.py
+++ b/lanelead/node/feeds.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lanelead.http.calls import Failed, call
-from lanelead.protocols.platform import Endpoints, address, listed
+from lanelead.protocols.platform import Endpoints, address
 from lanelead.protocols.records import Listed, Malformed, decode
 from lanelead.settings.records import Address
 
@@ -17,14 +17,18 @@
 PAUSE = 0.1  # after a failure, with a random part
 INSISTS = 2.0  # seconds that discovery names older versions only, before it is believed to have begun anew
 LONGEST = 16 << 20  # bytes of a list
+QUIET = 5.0  # seconds from one line on refused lists to the next
 
 
 class Held:
-    """The version that the relay's list is of, whichever discovery told it."""
+    """The version that the relay's list is of, whoever told it; and how many lists were refused."""
 
     def __init__(self, version: int) -> None:
-        self.version = version
-        self.doubted: float | None = None  # since when older versions only have come
+        self.version, self.refused = version, 0
+
+
+class Older(Malformed):
+    """A list of an older version than the one that is known."""
 
 
 class Discovery:
@@ -35,12 +39,18 @@
         loop: asyncio.AbstractEventLoop,
         where: str,
         held: Held,
+        read: Callable[[Endpoints], Listed],
         heard: Callable[[Listed], None],
         chance: Random,
         log: Any,
     ) -> None:
         self._loop, self._where, self._heard = loop, Address(*address(where)), heard
-        self._held, self._whole, self._chance, self._log = held, True, chance, log
+        self._held, self._read, self._whole = held, read, True
+        self._chance, self._log = chance, log
+        # Since when older versions only have come, without a break. Each feed has its own: an earlier
+        # discovery that goes on until this one is believed would end the doubt with each of its answers.
+        self._doubted: float | None = None
+        self._quiet = 0.0  # until when refused lists are counted alone
         self.spoke: Callable[[], None] = lambda: None
         self.up = self._over = False
 
@@ -58,6 +68,7 @@
                         "feed down", feed="discovery", reason=str(fault) or "silent",
                         remedy="look at discovery's agent; the last good list stays",
                     )  # fmt: skip
+                self._refused(fault)
             except Exception:
                 # Guards against a fault of ours on one list that would leave the relay without any for good.
                 self._log.exception("a list could not be taken in")
@@ -75,23 +86,38 @@
         found = decode(answer.body, Endpoints, LONGEST)
         if self._whole and not found.full:
             raise Malformed("changes, where the whole list was asked for")
-        told = listed(found)
         if found.version < held.version:
             self._doubt(found)
         if self._over:
             return
+        told = self._read(found)
         self.spoke()
         if not self.up:
             self._log.info("feed up", feed="discovery", version=found.version, units=len(found.servers))
-        self.up, self._whole, held.version, held.doubted = True, False, found.version, None
+        self.up, self._whole, held.version, self._doubted = True, False, found.version, None
         if found.full or found.servers:
             self._heard(told)
 
+    def _refused(self, fault: Exception) -> None:
+        """Counts a list that was refused. Guards against a discovery whose lists can't be read from the start
+        on, and that only looks silent; and against old copies with silence between them."""
+        if not isinstance(fault, Older):
+            self._doubted = None
+        if not isinstance(fault, Malformed):
+            return
+        self._held.refused += 1
+        if (now := self._loop.time()) >= self._quiet:
+            self._quiet = now + QUIET
+            self._log.warning(
+                "list refused", reason=str(fault), refused=self._held.refused,
+                remedy="put right what discovery's agent sends; the last good list stays",
+            )  # fmt: skip
+
     def _doubt(self, found: Endpoints) -> None:
         """Guards against an old copy of the list, by which units that drain would be ready again. One that
         says the same for long has begun to count anew."""
         held, now = self._held, self._loop.time()
-        held.doubted = held.doubted if held.doubted is not None else now
-        if not found.full or now < held.doubted + INSISTS:
-            raise Malformed(f"version {found.version}, where {held.version} is known")
+        self._doubted = self._doubted if self._doubted is not None else now
+        if not found.full or now < self._doubted + INSISTS:
+            raise Older(f"version {found.version}, where {held.version} is known")
         self._log.warning("discovery counts anew", version=found.version, known=held.version)
--- a/lanelead/node/handover.py
+++ b/lanelead/node/handover.py
@@ -7,6 +7,9 @@
 from typing import Any, Generic, Protocol, TypeVar
 
 
+MOST = 4  # feeds of one kind at once: the one that counts, and the newest
+
+
 class Feed(Protocol):
     spoke: Callable[[], None]  # to be called before what it hears is handed on
 
@@ -34,10 +37,16 @@
         self.newest = feed
         feed.spoke = lambda: self._spoke(feed)
         self._running[feed] = self._task(feed.run())
+        # Guards against feeds that pile up, with a connection and calls each, where no heir ever speaks.
+        for mute in list(self._running)[1 : 1 - MOST]:
+            self._end(mute)
 
     def _spoke(self, feed: F) -> None:
         for earlier in list(self._running):
             if earlier is feed:
                 return
-            self._running.pop(earlier).cancel()
-            earlier.end()
+            self._end(earlier)
+
+    def _end(self, feed: F) -> None:
+        self._running.pop(feed).cancel()
+        feed.end()
--- /dev/null
+++ b/lanelead/node/lists.py
@@ -0,0 +1,53 @@
+"""Discovery's lists as this relay takes them in: an entry that can't be read is refused alone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lanelead.decisions.interface import Condition, Ticks
+from lanelead.protocols.platform import Endpoints, Refusal, listed
+from lanelead.protocols.records import Listed, Row
+from lanelead.relay.driver import Driver
+
+NAMED = 5  # refused entries that one line of the log names
+
+
+class Lists:
+    """`offset`: what Unix time lacks of the driver's clock, in ticks; `refused`: entries so far."""
+
+    def __init__(self, driver: Driver, offset: Ticks, log: Any) -> None:
+        self._driver, self._offset, self._log = driver, offset, log
+        self.refused = 0
+
+    def read(self, found: Endpoints) -> Listed:
+        refused: list[Refusal] = []
+        taken = listed(found, self._last, refused)
+        if refused:
+            self.refused += len(refused)
+            self._log.warning(
+                "entries refused",
+                version=found.version, many=len(refused), first=[entry.id[:64] for entry in refused[:NAMED]],
+                reason=refused[0].reason,
+                remedy="put these entries right at discovery; what counted of these units last still counts",
+            )  # fmt: skip
+        return taken
+
+    def _last(self, name: str) -> Row | None:
+        """A unit as it was told of last; None where it is not known, or gone."""
+        unit = self._driver.door.units.get(name)
+        place = self._driver.places.get(unit) if unit is not None else None
+        if unit is None or place is None or unit.condition is Condition.GONE:
+            return None
+        started = (place.since - self._offset) / 10 if place.since else None
+        return Row(
+            name,
+            place.host,
+            place.port,
+            unit.zone,
+            unit.build,
+            "ready" if unit.condition is Condition.READY else "draining",
+            unit.cell,
+            unit.kind,
+            started,
+            unit.size,
+        )
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -20,7 +20,8 @@
 from lanelead.node.handover import Succession
 from lanelead.node.letters import Letters
 from lanelead.node.links import Links
-from lanelead.protocols.platform import address, listed
+from lanelead.node.lists import Lists
+from lanelead.protocols.platform import address
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.relay.driver import Driver, Ticket
 from lanelead.relay.timing import Clock
@@ -96,8 +97,9 @@
         self.front.after = self.links.after = self.after
         # The clock of all machines, as the driver's: what the roster says of starts is in Unix time.
         self._offset = self._clock.now() - int(time.time() * 10_000)
+        self._lists = Lists(self.driver, self._offset, self._log)
         if config.known.servers:
-            self._listed(listed(config.known))
+            self._listed(self._lists.read(config.known))
         self._held = Held(config.known.version)
         self.driver.news(config.platform.news.line(), False, Fate.DONE)
         self._discovery: Succession[Discovery] = Succession(self._task)
@@ -113,7 +115,15 @@
     def _feed(self, config: Config) -> None:
         """Discovery and the desk as this configuration names them; earlier ones end once these speak."""
         self._discovery.begin(
-            Discovery(self._loop, config.discovery, self._held, self._listed, self._chance, self._log)
+            Discovery(
+                self._loop,
+                config.discovery,
+                self._held,
+                self._lists.read,
+                self._listed,
+                self._chance,
+                self._log,
+            )
         )
         self._desk.begin(
             Desk(
@@ -259,6 +269,8 @@
             "unwelcome": links.unwelcome,
             "spoilt": links.spoilt,
             "short": links.short,
+            "refused_lists": self._held.refused,
+            "refused_entries": self._lists.refused,
             "dropped": self._letters.dropped,
             "discovery": self._discovery.newest.up,
             "desk": self._desk.newest.up,
--- a/lanelead/protocols/platform.py
+++ b/lanelead/protocols/platform.py
@@ -1,11 +1,13 @@
 """The platform's words: JSON-RPC 2.0, one object a line, and discovery's lists, read into the relay's own.
 
-Names that are not known here are skipped; what a record must have, it must have in the right form.
+Names that are not known here are skipped; what a record must have, it must have in the right form. Of a list,
+an entry that can't be read is refused alone: the others count.
 """
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Literal
+from collections.abc import Callable
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 from msgspec import Meta
@@ -16,6 +18,9 @@
 PHASES = {"testing": "trial", "recalling": "reverting", "live": "released", "recalled": "withdrawn"}
 STATES = {"active": "ready", "leaving": "draining", "left": "gone"}
 VERDICTS = {Verdict.NONE: "abstain", Verdict.ON: "promote", Verdict.HOLD: "pause", Verdict.BACK: "abort"}
+# A host that can't be one raises other errors than OSError when connected to, which nobody catches.
+LABEL = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+ADDRESS = rf"^{LABEL}(\.{LABEL})*:[0-9]{{1,5}}$|^\[[0-9A-Fa-f:]+\]:[0-9]{{1,5}}$"
 WORDS = {"too_many_calls": Fate.TURNED_AWAY, "out_of_date": Fate.UNSENT}  # any other error: it did not count
 
 
@@ -49,7 +54,7 @@
 
 class Endpoint(msgspec.Struct, frozen=True):
     id: Annotated[str, Meta(min_length=1, max_length=64)]
-    addr: Annotated[str, Meta(pattern=r"^[^:]+:[0-9]{1,5}$|^\[[0-9A-Fa-f:]+\]:[0-9]{1,5}$")]
+    addr: Annotated[str, Meta(max_length=270, pattern=ADDRESS)]
     state: Literal["active", "leaving", "left"]
     zone: str = ""
     kind: str = ""
@@ -62,7 +67,21 @@
 class Endpoints(msgspec.Struct, frozen=True):
     version: Whole
     full: bool
-    servers: Annotated[list[Endpoint], Meta(max_length=20000)]
+    servers: Annotated[list[msgspec.Raw], Meta(max_length=20000)]  # each an Endpoint, if it can be read
+
+
+class Label(msgspec.Struct, frozen=True):
+    """What may still be read of an entry that is no Endpoint."""
+
+    id: Any = None
+    state: Any = None
+
+
+class Refusal(NamedTuple):
+    """An entry that can't be read: which unit it names, if it does, and why it is refused."""
+
+    id: str
+    reason: str
 
 
 def address(text: str) -> tuple[str, int]:
@@ -72,26 +91,74 @@
     return host.strip("[]"), int(port)
 
 
-def listed(found: Endpoints) -> Listed:
-    """Discovery's list as the driver takes it. One clock is read by all machines: Unix time."""
-    rows = []
-    for point in found.servers:
-        host, port = address(point.addr)
-        rows.append(
-            Row(
-                point.id,
-                host,
-                port,
-                point.zone,
-                point.revision_no,
-                STATES[point.state],  # type: ignore[arg-type]
-                point.cell,
-                point.kind,
-                point.started_ms or None,
-                point.weight,
-            )
-        )
-    return Listed("full" if found.full else "changes", found.version, 0.0, rows)
+def _row(raw: msgspec.Raw) -> Row:
+    """Raises Malformed. One clock is read by all machines: Unix time."""
+    text = bytes(raw)
+    point = decode(text, Endpoint, len(text))  # the list's length is bounded already
+    host, port = address(point.addr)
+    return Row(
+        point.id,
+        host,
+        port,
+        point.zone,
+        point.revision_no,
+        STATES[point.state],  # type: ignore[arg-type]
+        point.cell,
+        point.kind,
+        point.started_ms or None,
+        point.weight,
+    )
+
+
+def _label(raw: msgspec.Raw) -> tuple[str, bool]:
+    """Which unit an entry names that can't be read, and whether it says that the unit wants nothing new."""
+    try:
+        text = bytes(raw)
+        label = decode(text, Label, len(text))
+    except Malformed:
+        return "", False
+    return label.id if isinstance(label.id, str) else "", label.state in ("leaving", "left")
+
+
+def _nobody(name: str) -> Row | None:
+    return None
+
+
+def listed(
+    found: Endpoints, last: Callable[[str], Row | None] = _nobody, refused: list[Refusal] | None = None
+) -> Listed:
+    """Discovery's list as the driver takes it; `refused` gets the entries that were refused, `last` says
+    what counts of a unit so far, which goes on for a refused one. Yet one told as leaving gets nothing new,
+    whatever else of its entry is wrong. A whole list that tells a unit twice and differently is refused for
+    that unit; among changes the last word counts."""
+    refusals = refused if refused is not None else []
+    rows: dict[str, Row] = {}
+    bad: dict[str, tuple[str, bool]] = {}  # by name: why, and whether any entry says that it leaves
+    for raw in found.servers:
+        try:
+            row = _row(raw)
+        except Malformed as fault:
+            name, leaves, reason = *_label(raw), str(fault)
+            if not name:
+                refusals.append(Refusal("", reason))
+                continue
+        else:
+            other = rows.get(row.unit, row)
+            rows[row.unit] = row
+            if not found.full or other == row:
+                continue
+            name, reason = row.unit, "told twice, and differently"
+            leaves = {row.condition, other.condition} != {"ready"}
+        bad[name] = reason, leaves or bad.get(name, ("", False))[1]
+        if not found.full and leaves and (kept := rows.get(name) or last(name)):
+            rows[name] = msgspec.structs.replace(kept, condition="draining")
+    if found.full:
+        for name, (_, leaves) in bad.items():
+            rows.pop(name, None)
+            if kept := last(name):
+                rows[name] = msgspec.structs.replace(kept, condition="draining") if leaves else kept
+    refusals += [Refusal(name, reason) for name, (reason, _) in bad.items()]
+    return Listed("full" if found.full else "changes", found.version, 0.0, list(rows.values()))
 
 
 def asked(number: int, method: str, params: dict[str, Any] | None = None) -> bytes:
--- /dev/null
+++ b/tests/agent.py
@@ -0,0 +1,107 @@
+"""Discovery's agent in a test's hand: each call is kept until the test answers it, in whole or in part."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from lanelead.http import writing
+from lanelead.http.asks import Ask
+from lanelead.http.serving import Caller
+from tests.platform import Platform, Unit
+
+WHOLE = b"/v1/endpoints"
+
+
+def entry(unit: Unit, **fields: Any) -> dict[str, Any]:
+    """A unit's entry; a field given as None is left out."""
+    found = {
+        "id": unit.name, "addr": f"127.0.0.1:{unit.port}", "zone": "north", "kind": "k", "cell": 0,
+        "state": "active", "weight": 1.0, "started_ms": 0, "revision_no": 1,
+    }  # fmt: skip
+    return {name: value for name, value in (found | fields).items() if value is not None}
+
+
+def body(version: int, *entries: Any, full: bool = False) -> bytes:
+    return json.dumps({"version": version, "full": full, "servers": entries}).encode()
+
+
+class Call:
+    """One call to discovery. `over`: the relay has ended it, or it was answered."""
+
+    def __init__(self, caller: Caller, ask: Ask) -> None:
+        self._caller, self.target = caller, ask.target
+        self.over = asyncio.Event()
+        caller.lost.append(self.over.set)
+
+    @property
+    def whole(self) -> bool:
+        return self.target == WHOLE
+
+    def part(self, text: bytes) -> None:
+        self._caller.write(text)
+
+    def end(self) -> None:
+        self._caller.close()
+
+    def answer(self, text: bytes) -> None:
+        self.part(writing.answer(200, (), text, keep=False))
+        self.end()
+
+    def tell(self, version: int, *entries: Any, full: bool | None = None) -> None:
+        """The whole list where it was asked for, changes where those were, or as `full` says."""
+        self.answer(body(version, *entries, full=self.whole if full is None else full))
+
+
+class Agent:
+    def __init__(self) -> None:
+        self._calls: asyncio.Queue[Call] = asyncio.Queue()
+        self._callers: list[Caller] = []
+
+    async def open(self, port: int = 0) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Caller(self._heard, self._callers.append), "127.0.0.1", port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def _heard(self, caller: Caller, ask: Ask) -> None:
+        self._calls.put_nowait(Call(caller, ask))
+
+    async def next(self) -> Call:
+        return await self._calls.get()
+
+    async def watch(self, version: int, *entries: Any) -> Call:
+        """Answers a call for the whole list, and gives the watch that follows it."""
+        call = await self.next()
+        assert call.whole, call.target
+        call.tell(version, *entries)
+        watch = await self.next()
+        assert watch.target.startswith(WHOLE + b"?from=%d&" % version), watch.target
+        return watch
+
+    async def die(self) -> None:
+        """From now on its address refuses, and what was open on it is reset."""
+        self._server.close()
+        for caller in self._callers:
+            caller.reset()
+        await self._server.wait_closed()
+
+
+@contextlib.asynccontextmanager
+async def agent() -> AsyncIterator[Agent]:
+    found = Agent()
+    await found.open()
+    try:
+        yield found
+    finally:
+        await found.die()
+
+
+def move(place: Platform, port: int) -> None:
+    """SIGHUP, with a configuration whose discovery is at this port; the desk stays."""
+    place.write([port, place.ports()[1]])
+    place.relay.reload()
