--- a/lanelead/node/inforce.py
+++ b/lanelead/node/inforce.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from lanelead.configuration.kinds import ClassFigures, Tenant, Value, split
+from lanelead.configuration.document import Document
+from lanelead.configuration.kinds import ClassFigures, Tenant, Unfit, Value, split
+from lanelead.configuration.kinds import InForce as Values
 from lanelead.decisions.interface import Lane, Member
 
 TENANTS, CLASSES = "accounts", "requestClasses"  # where a file has them
@@ -35,6 +37,19 @@
     ]
 
 
+def changed(
+    old: Mapping[str, Any], new: Mapping[str, Any]
+) -> tuple[list[str], Mapping[str, Value], list[Unfit]]:
+    """The keys that a file says otherwise now, the values of all, and what is unfit, not among the keys."""
+    before, now = dict(entries(old)), dict(entries(new))
+    document, values = Document(len(now) + 1, 1 << 40), Values()
+    document.load(now.items())
+    _, faults = values.take(document, list(now))
+    unfit = {fault.key: None for fault in faults}
+    keys = [key for key in {**before, **now} if before.get(key) != now.get(key) and key not in unfit]
+    return keys, values.values, faults
+
+
 class InForce:
     """`members` and `lanes` are the relay's own tables, by name; `retold` hears the sum of all quotas."""
 
--- a/lanelead/node/service.py
+++ b/lanelead/node/service.py
@@ -10,10 +10,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import msgspec
+from msgspec.structs import replace
 
-from lanelead.configuration.document import Document
-from lanelead.configuration.kinds import InForce as Values
 from lanelead.configuration.kinds import Value
 from lanelead.decisions.interface import Fate, Trip, Unit, Vote
 from lanelead.decisions.rules import Relay
@@ -23,10 +21,11 @@
 from lanelead.node.feeds import Discovery, Held
 from lanelead.node.front import Front
 from lanelead.node.handover import Succession
-from lanelead.node.inforce import CLASSES, TENANTS, InForce, entries, without_figures
+from lanelead.node.inforce import CLASSES, TENANTS, InForce, changed, entries, without_figures
 from lanelead.node.letters import Letters
 from lanelead.node.links import Links
-from lanelead.protocols.platform import address, listed
+from lanelead.node.lists import Lists
+from lanelead.protocols.platform import address
 from lanelead.protocols.records import Listed, Malformed, NewsLine
 from lanelead.relay.driver import Driver, Ticket
 from lanelead.relay.timing import Clock
@@ -107,8 +106,9 @@
         self.front.after = self.links.after = self.after
         # The clock of all machines, as the driver's: what the roster says of starts is in Unix time.
         self._offset = self._clock.now() - int(time.time() * 10_000)
+        self._lists = Lists(self.driver, self._offset, self._log)
         if config.known.servers:
-            self._listed(listed(config.known))
+            self._listed(self._lists.read(config.known))
         self._held = Held(config.known.version)
         self.driver.news(config.platform.news.line(), False, Fate.DONE)
         self._discovery: Succession[Discovery] = Succession(self._task)
@@ -124,7 +124,15 @@
     def _feed(self, config: Config) -> None:
         """Discovery and the desk as this configuration names them; earlier ones end once these speak."""
         self._discovery.begin(
-            Discovery(self._loop, config.discovery, self._held, self._listed, self._chance, self._log)
+            Discovery(
+                self._loop,
+                config.discovery,
+                self._held,
+                self._lists.read,
+                self._listed,
+                self._chance,
+                self._log,
+            )
         )
         self._desk.begin(
             Desk(
@@ -144,7 +152,11 @@
 
     def _news(self, line: NewsLine | None, answer: bool, word: Fate) -> None:
         if line is not None and line.stage >= self._stages:
-            raise Malformed(f"news of stage {line.stage}, of {self._stages} in the settings")
+            if line.phase == "trial":
+                raise Malformed(f"news of stage {line.stage}, of {self._stages} in the settings")
+            # Guards against a released build that would pass for one on trial: its units, which may be all
+            # there are, would get the first stage's share. Off trial the stage says nothing more.
+            line = replace(line, stage=self._stages - 1)
         self.driver.news(line, answer, word)
         self.after()
 
@@ -297,6 +309,8 @@
             "unwelcome": links.unwelcome,
             "spoilt": links.spoilt,
             "short": links.short,
+            "refused_lists": self._held.refused,
+            "refused_entries": self._lists.refused,
             "dropped": self._letters.dropped,
             **({"configuration": self._following.follower.state} if self._following is not None else {}),
             "passed_over": dict(self.driver.door.marks.passed_over),
@@ -338,23 +352,16 @@
         """Puts the file's tenants and classes' figures in force; gives the settings that this covers. A relay
         that follows the configuration goes by that."""
         old, new = self._config.settings, config.settings
-        before, now = dict(entries(old)), dict(entries(new))
-        document, values = Document(len(now) + 1, 1 << 40), Values()
-        document.load(now.items())
-        _, faults = values.take(document, list(now))
+        keys, values, faults = changed(old, new)
         for fault in faults[:10]:
             self._log.warning(
                 "a figure of the file was refused", reason=str(fault), remedy="the last good one stays"
             )
-        unfit = {fault.key: None for fault in faults}
-        keys = [key for key in {**before, **now} if before.get(key) != now.get(key) and key not in unfit]
         if keys:
-            self._put(keys, values.values)
-        self._config = msgspec.structs.replace(
-            self._config, settings={**old, TENANTS: new.get(TENANTS), CLASSES: new.get(CLASSES)}
-        )
-        same = without_figures(old) == without_figures(new)
-        return [TENANTS, CLASSES] if same else [TENANTS]
+            self._put(keys, values)
+        kept = {name: new.get(name) for name in (TENANTS, CLASSES)}
+        self._config = replace(self._config, settings={**old, **kept})
+        return [TENANTS, CLASSES] if without_figures(old) == without_figures(new) else [TENANTS]
 
     # Hands
 
