--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -275,6 +275,21 @@
         self.holder.head = 1  # with somebody else's change
         self.assertEqual("abstains", self.end())
 
+    def test_what_is_finished_is_so_for_its_own_version_only(self) -> None:
+        found = change("own-change")
+        self.proposer = Proposer(0, (0, 1, 2), proposal("own-change"), self.holder, Random(1), 0.0, found)
+        self.proposer.step(0.0)
+        ask = self.prepare()
+        for voter in (1, 2):
+            self.proposer.promised(voter, ask, Promise("promised", 0, ask.ballot), 0.0)
+        accept = self.asks()[0]
+        assert isinstance(accept, Accept)
+        self.assertIs(found, accept.change)
+        self.holder.head = 1
+        self.proposer.step(0.1)
+        assert isinstance(self.proposer.result, Refusal)
+        self.assertEqual(("stale", []), (self.proposer.result.why, self.asks()))
+
     def test_11_proposers_that_meet_wait_for_times_that_differ(self) -> None:
         pauses = []
         for _ in range(6):
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -244,9 +244,18 @@
         world.run(2)
         machine = world.alive(0)
         ahead = Sign(1, "some-history", 7, voters=[0, 1, 2])
-        before = machine.seen[1].held
+        before, machine.calls = machine.seen[1].held, []
         machine.answered(Call(1, machine.sign(), world.now), ahead, world.now)
         self.assertEqual((before, 7), (machine.seen[1].held, machine.seen[1].head))
+        self.assertEqual([(1, Asked(1))], [(call.to, call.body) for call in machine.calls])
+
+    def test_a_sign_of_one_that_is_ahead_is_enough_to_catch_up(self) -> None:
+        """Where its own signs get no answer, too."""
+        world = started(3)
+        machine = world.alive(0)
+        machine.calls = []
+        machine.asked_sign(Sign(2, "some-history", 7, voters=[0, 1, 2]), world.now)
+        self.assertEqual([(2, Asked(1))], [(call.to, call.body) for call in machine.calls])
 
     def test_an_answer_to_an_earlier_sign_changes_nothing(self) -> None:
         world = started(3)
@@ -273,8 +282,12 @@
         )
         self.assertEqual([], machine.calls)
         self.assertEqual(1, len([note for note in world.notes if "another-one" in note[2]]))
-        machine._log(Call(1, Asked(2), 0.0), machine.seen[1], Log("another-one", 9, []), 0.0)
+        change = machine.holding.change(proposal("change-2"))
+        assert isinstance(change, Change)
+        machine.answered(Call(1, Asked(2), 0.0), Log("another-one", 9, [change]), world.now)
         self.assertEqual(1, machine.holding.head)
+        machine.answered(Call(1, Asked(2), 0.0), Log("change-1", 9, [change]), world.now)
+        self.assertEqual(2, machine.holding.head)
 
     def test_other_voters_and_another_number_are_left_alone(self) -> None:
         for sign, word in (
