Values and targets that can't be read are refused, a machine's turn can't end its signs

An ident asked for again with a value that can't be read raised in the middle of a call; a target that is no URL ended the connection without a word.

--- a/lanelead/configuration/commands.py
+++ b/lanelead/configuration/commands.py
@@ -35,7 +35,7 @@
 @click.argument("file", type=click.Path())
 def serve(file: str) -> None:
     """Runs the machine that the settings FILE describes, until SIGTERM."""
-    from lanelead.configuration.service import run
+    from lanelead.configuration.main import run
 
     try:
         settings = read(file)
--- a/lanelead/configuration/holding.py
+++ b/lanelead/configuration/holding.py
@@ -92,7 +92,11 @@
         found = self._store.made.get(proposal.ident)
         if found is None:
             return None
-        if found.mark != mark_of(proposal.entries):
+        try:
+            same = found.mark == mark_of(proposal.entries)
+        except Refused:
+            same = False
+        if not same:
             return Refusal(
                 "malformed", f"ident {proposal.ident} has made other entries, as version {found.version}:"
                 " take another ident"
--- /dev/null
+++ b/lanelead/configuration/main.py
@@ -0,0 +1,41 @@
+"""Starts a machine of the configuration on uvloop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from random import Random, SystemRandom
+
+import uvloop
+
+from lanelead.configuration.service import Service
+from lanelead.configuration.settings import Settings
+from lanelead.configuration.store import Store, StoreFault
+from lanelead.logs import logger
+
+
+def run(settings: Settings) -> None:
+    """Serves until SIGTERM or SIGINT. The line `ready HOST:PORT` on standard output says that it listens."""
+    log = logger(settings.log).bind(machine=settings.machine)
+
+    async def serve() -> None:
+        over, loop = asyncio.Event(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, over.set)
+        try:
+            store = Store(settings.store, log=settings.bounds.log_changes)
+            service = Service(settings, store, log, Random(SystemRandom().getrandbits(64)))
+            await service.open()
+        except StoreFault as fault:
+            print(f"lanelead: {fault}; {fault.remedy}", file=sys.stderr)
+            raise SystemExit(2) from None
+        except OSError as fault:
+            print(f"lanelead: cannot listen: {fault}", file=sys.stderr)
+            raise SystemExit(2) from None
+        sys.stdout.write(f"ready {settings.listen or settings.here.address}\n")
+        sys.stdout.flush()
+        await over.wait()
+        await service.close()
+
+    uvloop.run(serve())
--- a/lanelead/configuration/service.py
+++ b/lanelead/configuration/service.py
@@ -13,17 +13,14 @@
 from __future__ import annotations
 
 import asyncio
-import signal
-import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from random import Random, SystemRandom
+from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
-import uvloop
 
 from lanelead.configuration.agreement import Proposer, Unfit
 from lanelead.configuration.document import Document
@@ -36,7 +33,6 @@
 from lanelead.http import calls, writing
 from lanelead.http.asks import Ask
 from lanelead.http.serving import STREAM, Caller, chunk
-from lanelead.logs import logger
 from lanelead.protocols.configuration import (
     Accept,
     Accepted,
@@ -158,8 +154,7 @@
         machine = self.machine
         sent, machine.calls = machine.calls, []
         for call in sent:
-            task = self._loop.create_task(self._carry(call))
-            self._tasks[task] = None
+            self._tasks[task := self._loop.create_task(self._carry(call))] = None
             task.add_done_callback(self._finished)
         for caller, (proposer, ask) in list(self._pending.items()):
             if proposer.result is not None:
@@ -173,7 +168,11 @@
         self._timer = self._loop.call_at(max(machine.due, self._now() + 0.001), self._tick)
 
     def _tick(self) -> None:
-        self.machine.tick(self._now())
+        try:
+            self.machine.tick(self._now())
+        except Exception:
+            # Guards against a fault of ours that would leave the machine without signs of life for good.
+            self._log.exception("a machine's turn failed")
         self._turn()
 
     def _finished(self, task: asyncio.Task[None]) -> None:
@@ -225,11 +224,11 @@
         if caller in self._watchers or caller in self._pending:
             caller.close()  # one at a time: a second request would be answered in the wrong place
             return
-        split = urlsplit(ask.target.decode("latin-1"))
-        query = {name: some[0] for name, some in parse_qs(split.query).items()}
-        name = split.path.removeprefix("/configuration").removeprefix("/")
         status = 200
         try:
+            split = urlsplit(ask.target.decode("latin-1"))
+            query = {name: some[0] for name, some in parse_qs(split.query).items()}
+            name = split.path.removeprefix("/configuration").removeprefix("/")
             if not split.path.startswith("/configuration"):
                 raise Refused(Refusal("malformed", f"no call {split.path[:80]}"), 404)
             if ask.method == "GET" and name == "watch":
@@ -241,7 +240,7 @@
             body = encode(self._call(ask, name, query))
         except Refused as fault:
             status, body = fault.status, encode(fault.refusal)
-        except (Malformed, Unfit) as fault:
+        except (Malformed, Unfit, ValueError) as fault:  # the last: a target that is none
             status, body = 400, encode(Refusal("malformed", str(fault)))
         except StoreFault as fault:
             status, body = 503, encode(Refusal("abstains", f"{fault}; {fault.remedy}"))
@@ -366,33 +365,3 @@
 def _numbers(query: dict[str, str]) -> list[int]:
     parts = query.get("numbers", "").split(",")
     return [_whole({"numbers": part}, "numbers") for part in parts]
-
-
-def run(settings: Settings) -> None:
-    """Serves until SIGTERM or SIGINT. The line `ready HOST:PORT` on standard output says that it listens."""
-    log = logger(settings.log).bind(machine=settings.machine)
-    try:
-        store = Store(settings.store, log=settings.bounds.log_changes)
-    except StoreFault as fault:
-        print(f"lanelead: {fault}; {fault.remedy}", file=sys.stderr)
-        raise SystemExit(2) from None
-
-    async def serve() -> None:
-        over, loop = asyncio.Event(), asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, over.set)
-        try:
-            service = Service(settings, store, log, Random(SystemRandom().getrandbits(64)))
-            await service.open()
-        except StoreFault as fault:
-            print(f"lanelead: {fault}; {fault.remedy}", file=sys.stderr)
-            raise SystemExit(2) from None
-        except OSError as fault:
-            print(f"lanelead: cannot listen: {fault}", file=sys.stderr)
-            raise SystemExit(2) from None
-        sys.stdout.write(f"ready {settings.listen or settings.here.address}\n")
-        sys.stdout.flush()
-        await over.wait()
-        await service.close()
-
-    uvloop.run(serve())
--- a/tests/test_configuration_commands.py
+++ b/tests/test_configuration_commands.py
@@ -113,14 +113,19 @@
     async def test_bad_calls_are_told_what_is_wrong_and_cost_no_more(self) -> None:
         async with group(1) as machines:
             at = machines.at(0)[0]
+            await machines.makes("at-first", 0)
             bad = [
                 ("POST", b"/configuration", b"{", 400), ("POST", b"/configuration", b'{"ident": "x"}', 400),
                 ("GET", b"/configuration/log?from=-1", b"", 400), ("GET", b"/nothing", b"", 404),
+                ("GET", b"//[", b"", 400),
                 ("GET", b"/configuration/snapshot?version=0&page=99", b"", 400),
-                ("GET", b"/configuration/buckets?version=0&numbers=1", b"", 503),
+                ("GET", b"/configuration/buckets?version=0&numbers=1", b"", 410),
                 ("POST", b"/configuration/prepare", b"[]", 400),
                 ("POST", b"/configuration", b"x" * (2 << 20), 413),
             ]  # fmt: skip
+            for ident in ("at-first", "the-next"):
+                text = f'{{"ident": "{ident}", "entries": [{{"key": "x/a", "value": "\\ud800"}}]}}'
+                bad.append(("POST", b"/configuration", text.encode(), 400))
             for method, path, body, expected in bad:
                 with self.subTest(path=path, body=body[:20]):
                     status, _ = await ask(at, method, path, body, 5.0)
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -108,6 +108,8 @@
         answer = self.holding.made(proposal("change-1", "tenant/b"))
         assert isinstance(answer, Refusal)
         self.assertEqual("malformed", answer.why)
+        unreadable = Proposal("change-1", [Entry("tenant/a", msgspec.Raw(b'"\\ud800"'))])
+        self.assertIsInstance(self.holding.made(unreadable), Refusal)
         change = Change(2, "change-1", self.holding.document.after([Entry("tenant/a")]), [Entry("tenant/a")])
         with self.assertRaises(Unfit):
             self.holding.fits(change)
@@ -257,7 +259,6 @@
         self.assertEqual("promised", self.holding.acceptor.prepare(Prepare(1, Ballot(1, 0))).word)
 
     def test_an_input_output_error_at_each_point_leaves_all_as_it_was(self) -> None:
-        assert self.store is not None
         self.holding.stand(True, 1)
         for point in ("vote.before", "vote.commit", "decide.before", "decide.commit"):
 
@@ -265,12 +266,30 @@
                 if reached == point:
                     raise OSError(5, "Input/output error")
 
+            holding = self.open()
+            assert self.store is not None
             self.store.at = fails
-            with self.subTest(point), self.assertRaises(Failed):
-                self.holding.acceptor.prepare(Prepare(1, Ballot(1, 0)))
-                self.make(self.holding, proposal("change-1"))
-            self.store.at = lambda point: None
-            self.assertEqual((0, Ballot()), (self.holding.head, self.open().acceptor.accepted or Ballot()))
+            with self.subTest(point):
+                with self.assertRaises(Failed):
+                    if point.startswith("vote"):
+                        holding.acceptor.prepare(Prepare(1, Ballot(1, 0)))
+                    self.make(holding, proposal("change-1"))
+                for each in (holding, self.open()):
+                    self.assertEqual((0, "", Ballot()), (each.head, each.history, each.acceptor.promised))
+                    self.assertEqual({}, each.document.entries)
+
+    def test_a_page_that_no_start_would_read_is_looked_at_all_the_same(self) -> None:
+        self.make(self.holding, proposal("change-1", "x/a", "y" * 16000))
+        self.make(self.holding, proposal("change-2", "x/a", "z"))
+        self.close()
+        Store(self.file).close()
+        whole = self.file.read_bytes()
+        for at in range(0, len(whole), 4096):
+            if whole[at : at + 4096].count(b"y") > 4000:  # of the log: the entry has another value by now
+                whole = whole[:at] + b"\0" * 4096 + whole[at + 4096 :]
+        self.file.write_bytes(whole)
+        with self.assertRaises(Corrupt):
+            Store(self.file)
 
     def test_a_file_that_was_torn_or_overwritten_is_refused(self) -> None:
         for number in range(1, 16):
