--- /dev/null
+++ b/benchmarks/slopes/processes.py
@@ -0,0 +1,274 @@
+"""Real relays as processes, each with a configuration file of its own, before stand-ins for discovery and the
+desk at two addresses between which a change moves them. What a relay did, and when, is read from its own log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from lanelead.http import writing
+from lanelead.http.asks import Ask
+from lanelead.http.serving import Caller
+from lanelead.pgwire import messages
+from tests.platform import NEWS, SETTINGS, Client, Platform, Unit, answered, good, told
+
+ROOT = Path(__file__).parents[2]
+HOLD = 2.0  # seconds that discovery holds a watch on which nothing changes
+SIGNS = 1.0  # seconds between the desk's signs of life
+ZONES = 4
+STARTS = 4  # processes that start at once while the fleet is put up: the machine is shared
+PING = b'{"jsonrpc":"2.0","method":"ping"}\n'
+
+
+class Feeds:
+    """Discovery and the desk at one pair of ports."""
+
+    def __init__(self, units: list[Unit]) -> None:
+        self._units, self.watches, self.whole = units, 0, 0
+        self._desks: dict[asyncio.StreamWriter, None] = {}
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._servers = [await loop.create_server(lambda: Caller(self._listed), "127.0.0.1", 0, backlog=1024)]
+        self._servers.append(await asyncio.start_server(self._desk, "127.0.0.1", 0, backlog=1024))
+        self.discovery, self.desk = (server.sockets[0].getsockname()[1] for server in self._servers)
+        self._pinging = loop.create_task(self._pings())
+
+    def _listed(self, caller: Caller, ask: Ask) -> None:
+        loop = asyncio.get_running_loop()
+        if b"from=" in ask.target:
+            self.watches += 1
+            loop.call_later(HOLD, self._say, caller, b'{"version":1,"full":false,"servers":[]}')
+        else:
+            self.whole += 1
+            self._say(caller, self.known())
+
+    def _say(self, caller: Caller, body: bytes) -> None:
+        caller.write(writing.answer(200, (), body, keep=False))
+        caller.close()
+
+    def known(self) -> bytes:
+        place = Platform(Path(), self._units, 0)
+        return place.list_of(self._units)
+
+    async def _desk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._desks[writer] = None
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while line := await reader.readline():
+                call = json.loads(line)
+                if call["method"] == "Events.Watch":
+                    writer.write(b'{"jsonrpc":"2.0","id":%d,"result":true}\n' % call["id"] + told(NEWS))
+                else:
+                    writer.write(answered(call["id"], NEWS))
+        del self._desks[writer]
+        writer.close()
+
+    async def _pings(self) -> None:
+        while True:
+            await asyncio.sleep(SIGNS)
+            for writer in list(self._desks):
+                writer.write(PING)
+
+    def close(self) -> None:
+        self._pinging.cancel()
+        for writer in list(self._desks):
+            writer.close()
+        for server in self._servers:
+            server.close()
+
+
+class Node:
+    """One relay: its file, its process of the moment, and what its log says of that process."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number, self.zone = fleet, number, number % ZONES
+        self.port, self.letters = fleet.port(socket.SOCK_STREAM), fleet.port(socket.SOCK_DGRAM)
+        self.path, self.log = fleet.folder / f"{number}.json", fleet.folder / f"{number}.log"
+        self.process: asyncio.subprocess.Process | None = None
+        self.life = self.started = self.wrote = 0.0  # Unix time of the last start and the last file
+        self._from = 0  # where this life's log begins
+
+    def write(self) -> int:
+        """The file, whole or not at all; returns its bytes."""
+        text = json.dumps(self.fleet.config(self)).encode()
+        self.wrote = time.time()
+        fresh = self.path.with_suffix(".new")
+        fresh.write_bytes(text)
+        os.replace(fresh, self.path)
+        return len(text)
+
+    async def start(self) -> None:
+        self.started = time.time()
+        with open(self.log, "ab") as log:
+            self._from = log.tell()
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lanelead", "node",
+                stdout=asyncio.subprocess.DEVNULL, stderr=log, cwd=ROOT,
+                env={**os.environ, "NODE_CONFIG": str(self.path), "PYTHONPATH": str(ROOT)},
+            )  # fmt: skip
+
+    def signal(self, number: int) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            if self.process is not None:
+                self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None
+        return await self.process.wait()
+
+    def said(self) -> list[tuple[float, dict[str, Any]]]:
+        """What the process of the moment has logged so far, with Unix times."""
+        with open(self.log, "rb") as log:
+            log.seek(self._from)
+            lines = log.read().split(b"\n")[:-1]
+        rows = [json.loads(line) for line in lines if line.startswith(b"{")]
+        return [(datetime.fromisoformat(row["timestamp"]).timestamp(), row) for row in rows]
+
+    def said_first(self, event: str) -> float | None:
+        return next((at for at, row in self.said() if row["event"] == event), None)
+
+    def in_force(self, discovery: str) -> float | None:
+        """When both feeds of this address had spoken: those of the file that the process started with, or
+        those that a reload began; None while they have not."""
+        since: float | None = self.started if self.started >= self.wrote else None
+        up: dict[str, float] = {}
+        for at, row in self.said():
+            if row["event"] == "configuration read anew":
+                since, up = (at, {}) if row["discovery"] == discovery else (None, {})
+            elif row["event"] == "feed up" and since is not None:
+                up.setdefault(row["feed"], at)
+        return max(up.values()) if len(up) == 2 else None
+
+    def processor_s(self) -> float:
+        """Processor time of the process so far, to the nanosecond."""
+        assert self.process is not None
+        return int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0]) / 1e9
+
+    async def client(self, limit: float = 30.0) -> Client:
+        """A connection that has been let in; tries until there is one."""
+        async with asyncio.timeout(limit):
+            while True:
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+                    self.fleet.writers.append(client.writer)
+                    client.writer.write(messages.startup("app", "shop"))
+                    if "Z" in await client.answer():
+                        return client
+                await asyncio.sleep(0.01)
+
+    async def first_answer(self) -> float:
+        """Unix time of the first value that this relay hands out."""
+        while True:
+            client = await self.client()
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                answer = await client.ask(f"f{self.fleet.next()}", left=2900)
+                if "D" in answer and "T" in answer:
+                    client.writer.close()
+                    return time.time()
+            client.writer.close()
+
+
+class Fleet:
+    def __init__(self, folder: Path, many: int, feeds: list[Feeds]) -> None:
+        self.folder, self.feeds, self.at = folder, feeds, 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self._turn, self._port = 0, 12_000 + os.getpid() % 9000
+        self.known: dict[str, Any] = json.loads(feeds[0].known())
+        self.nodes = [Node(self, number) for number in range(many)]
+
+    def next(self) -> int:
+        self._turn += 1
+        return self._turn
+
+    def port(self, kind: int) -> int:
+        """A free one below those that the kernel gives to calls: a relay that restarts must find it free."""
+        while True:
+            self._port += 1
+            with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", self._port))
+                return self._port
+
+    def discovery(self) -> str:
+        return f"127.0.0.1:{self.feeds[self.at].discovery}"
+
+    def config(self, node: Node) -> dict[str, Any]:
+        classes = [{**row, "deadlineMs": 3000.0} for row in SETTINGS["requestClasses"]]
+        settings = {
+            **SETTINGS, "me": node.number, "instances": len(self.nodes), "zone": f"z{node.zone}",
+            "requestClasses": classes, "prices": {"probe": 0.08, "handshake": 0.02},
+        }  # fmt: skip
+        return {
+            "name": f"n{node.number}", "listen": f"127.0.0.1:{node.port}", "seed": f"{node.number + 1:x}",
+            "discovery": self.discovery(), "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "peer_listen": f"127.0.0.1:{node.letters}",
+            "peers": [f"127.0.0.1:{other.letters}" for other in self.nodes],
+            "platform": {"address": f"127.0.0.1:{self.feeds[self.at].desk}", "news": NEWS},
+            "settings": settings, "known": self.known,
+        }  # fmt: skip
+
+    async def put_up(self) -> None:
+        starting = asyncio.Semaphore(STARTS)
+
+        async def one(node: Node) -> None:
+            node.write()
+            async with starting:
+                await node.start()
+                await until(lambda: node.in_force(self.discovery()) is not None, 60)
+
+        await asyncio.gather(*(one(node) for node in self.nodes))
+
+    async def take_down(self) -> None:
+        """Ends each process by its id, also where a measurement failed."""
+        for writer in self.writers:
+            writer.close()
+        for node in self.nodes:
+            node.signal(signal.SIGKILL)
+        for node in self.nodes:
+            if node.process is not None:
+                await node.process.wait()
+
+
+async def until(what: Any, limit: float, step: float = 0.02) -> None:
+    async with asyncio.timeout(limit):
+        while not what():
+            await asyncio.sleep(step)
+
+
+async def slow_or_good(unit: Unit, text: bytes) -> bytes | None:
+    """A request of the class `file` is never answered; any other at once."""
+    if b"c=file" in text:
+        await asyncio.sleep(60)
+    return await good(unit, text)
+
+
+@contextlib.asynccontextmanager
+async def fleet(many: int) -> AsyncIterator[Fleet]:
+    """`many` relays that run, each with both feeds up, before two units."""
+    units = [Unit(f"u{number}", slow_or_good) for number in range(2)]
+    feeds = [Feeds(units), Feeds(units)]
+    with tempfile.TemporaryDirectory() as folder:
+        await asyncio.gather(*(unit.open() for unit in units), *(feed.open() for feed in feeds))
+        found = Fleet(Path(folder), many, feeds)
+        try:
+            await found.put_up()
+            yield found
+        finally:
+            await found.take_down()
+            for feed in feeds:
+                feed.close()
+            for unit in units:
+                unit.server.close()
+                for writer in unit.writers:
+                    writer.close()
