Slopes of membership, of votes and the desk, and of discovery's side

What a circle, a release's votes and discovery's watches cost by relays was not measured. The circle's members and the relays' drivers run in virtual time; watches are modelled with the bytes that the relay's own caller writes.

--- /dev/null
+++ b/tests/test_slopes_votes.py
@@ -0,0 +1,47 @@
+"""What the slopes of votes and of discovery's side rest on: hollow parts, one result for one seed."""
+
+from __future__ import annotations
+
+import unittest
+
+from benchmarks.slopes import watching
+from benchmarks.slopes.voting import Release, poll_of
+from lanelead.node.feeds import HOLD
+
+
+class Voting(unittest.TestCase):
+    def test_a_good_build_is_released_and_one_seed_gives_one_result(self) -> None:
+        first, again = (Release(3, poll_of(3, False)) for _ in range(2))
+        self.assertTrue(first.play())
+        self.assertTrue(again.play())
+        self.assertEqual(first.casts, again.casts)
+        self.assertEqual((first.changes, first.news), (again.changes, again.news))
+        self.assertEqual({0, 1, 2}, {cast.stage for cast in first.casts})
+
+    def test_where_half_must_agree_the_desk_gets_so_many_votes_that_count(self) -> None:
+        town = Release(5, poll_of(5, True))
+        self.assertTrue(town.play())
+        self.assertGreaterEqual(town.words()["done"], 3 * 3)  # of five in each of three stages
+        self.assertLessEqual(town.worst(), len(town.casts))
+
+
+class Watching(unittest.TestCase):
+    def test_without_changes_a_relay_watches_once_a_hold(self) -> None:
+        seen = watching.play(10, 100.0, [], 90)
+        self.assertAlmostEqual(10 * 100 / (HOLD + watching.CALL), seen.watches, delta=10)
+        self.assertEqual(seen.watches * (90 + len(watching.answer(0))), seen.bytes)
+
+    def test_each_relay_is_told_of_each_change_once(self) -> None:
+        seen, quiet = (watching.play(4, 50.0, changes, 90) for changes in ([10.0, 20.0, 20.0001], []))
+        told = len(watching.answer(1)) - len(watching.answer(0))
+        more = seen.bytes - quiet.bytes - (seen.watches - quiet.watches) * (90 + len(watching.answer(0)))
+        self.assertAlmostEqual(4 * 3 * told, more, delta=4 * 3 * 3)  # a comma or a digit of the length
+
+    def test_the_relays_own_caller_is_what_is_counted(self) -> None:
+        spent, asked = watching.watch_us(1, many=3, rounds=1)
+        self.assertGreater(spent, 0)
+        self.assertTrue(asked.startswith(b"GET /v1/endpoints?from=1234567&hold_ms=2000 HTTP/1.1\r\n"), asked)
+
+
+if __name__ == "__main__":
+    unittest.main()
