Garbage of old generations is collected in long runs; nothing of a kind gives no point

The hour apart showed 121 MB growing to 140, and the fleet had collected young garbage only. A fit divides by nothing where a point is zero: plain relays hear no sightings.

--- a/benchmarks/slopes/fleet.py
+++ b/benchmarks/slopes/fleet.py
@@ -266,7 +266,8 @@
             while self._events and self._events[0][0] <= until:
                 when, _, kind, number, what = heappop(self._events)
                 if when > collect:
-                    gc.collect(1)
+                    # Guards against what is only not collected yet, taken for growth in a long run.
+                    gc.collect(2 if collect // SECOND % 60 == 0 else 1)
                     collect += SECOND
                 self.now = max(self.now, when)
                 self._take(kind, number, what)
--- a/benchmarks/slopes/letters.py
+++ b/benchmarks/slopes/letters.py
@@ -129,7 +129,7 @@
     points: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
 
     def note(name: str, unit: str, note: str, size: float, value: float | None) -> None:
-        if value is not None:
+        if value:  # plain relays hear no sightings above 8: nothing has no place among logarithms
             points.setdefault((name, unit, note), []).append((size, value))
 
     for rate, name in ((PEAK, "peak"), (LOW, "low")):
--- a/benchmarks/slopes/losses.py
+++ b/benchmarks/slopes/losses.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections import Counter
 from dataclasses import dataclass, field
 from statistics import fmean
@@ -155,6 +156,7 @@
     cut = fleet.now
     for look in (look for look in LOOKS if look <= hour):
         span("apart", look - (fleet.now - cut) / SECOND)
+        gc.collect()
         points.setdefault(("apart.memory", "MB"), []).append((look, resident_mb()))
         for what, value in sizes(fleet).items():
             points.setdefault((f"apart.{what}", "count"), []).append((look, value))
