--- a/benchmarks/slopes/watching.py
+++ b/benchmarks/slopes/watching.py
@@ -18,11 +18,12 @@
 from statistics import median
 from typing import NamedTuple
 
+import msgspec
 import structlog
 
 from lanelead.http import writing
 from lanelead.node.feeds import HOLD, Discovery, Held
-from lanelead.protocols.platform import Endpoint, Endpoints
+from lanelead.protocols.platform import Endpoint, Endpoints, listed
 from lanelead.protocols.records import Listed, encode
 
 CALL = 0.001  # seconds from an answer to the relay's next watch, over a network of one zone
@@ -35,7 +36,7 @@
                  1_764_648_618_000, 1041)
         for number in range(changed)
     ]  # fmt: skip
-    body = encode(Endpoints(1_234_567, full, points))
+    body = encode(Endpoints(1_234_567, full, [msgspec.Raw(encode(point)) for point in points]))
     return writing.answer(200, ((b"content-type", b"application/json"),), body, keep=False)
 
 
@@ -73,7 +74,7 @@
     """Processor time, in seconds, of this thread for so many watches, and how many came."""
     loop, heard = asyncio.get_running_loop(), list[Listed]()
     log = structlog.wrap_logger(structlog.testing.CapturingLogger(), processors=[])
-    feed = Discovery(loop, f"127.0.0.1:{port}", Held(0), heard.append, Random(37), log)
+    feed = Discovery(loop, f"127.0.0.1:{port}", Held(0), listed, heard.append, Random(37), log)
     spoken = 0
     came = asyncio.Event()
 
