--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -24,7 +24,7 @@
 
 SUBJECTS = (
     "decisions", "lists", "letters", "tenants", "latency",
-    "configuration", "membership", "votes", "restarts", "losses", "hollow", "distribution",
+    "configuration", "membership", "votes", "restarts", "losses", "hollow", "distribution", "few",
 )  # fmt: skip
 
 
