--- a/benchmarks/slopes/hollow.py
+++ b/benchmarks/slopes/hollow.py
@@ -18,10 +18,11 @@
 import uvloop
 from scipy.optimize import nnls
 
-from benchmarks.slopes.fleet import Fleet, Hollow, Size
+from benchmarks.slopes.fleet import Fleet, Hollow
 from benchmarks.slopes.processes import available_mb, site
 from benchmarks.slopes.restarts import whole_list
 from benchmarks.slopes.series import Series, traced_mb
+from benchmarks.slopes.sizes import Size
 from lanelead.decisions.interface import SECOND
 from lanelead.protocols.platform import Endpoints
 from lanelead.protocols.records import decode
--- a/benchmarks/slopes/letters.py
+++ b/benchmarks/slopes/letters.py
@@ -12,8 +12,9 @@
 from statistics import fmean
 from typing import Any
 
-from benchmarks.slopes.fleet import SHARES, Fleet, Hollow, Size
+from benchmarks.slopes.fleet import SHARES, Fleet, Hollow
 from benchmarks.slopes.series import Series, traced_mb
+from benchmarks.slopes.sizes import Size
 from lanelead.decisions.interface import SECOND, Sighting
 from lanelead.hosting.door import pack
 from lanelead.relay.timing import EPOCH
--- a/benchmarks/slopes/losses.py
+++ b/benchmarks/slopes/losses.py
@@ -13,8 +13,9 @@
 from statistics import fmean
 from typing import Any
 
-from benchmarks.slopes.fleet import ZONES, Fleet, Hollow, Size, listing
+from benchmarks.slopes.fleet import Fleet, Hollow
 from benchmarks.slopes.series import Series, resident_mb
+from benchmarks.slopes.sizes import ZONES, Size, listing
 from lanelead.decisions.interface import SECOND, Fate
 from lanelead.protocols.records import Listed
 
--- a/benchmarks/slopes/processes.py
+++ b/benchmarks/slopes/processes.py
@@ -22,8 +22,8 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
-from benchmarks.slopes.fleet import ZONES, Size, settings, unit_name
 from benchmarks.slopes.series import resident_mb
+from benchmarks.slopes.sizes import ZONES, Size, settings, unit_name
 from lanelead.http import writing
 from lanelead.http.asks import Ask
 from lanelead.http.serving import Caller
--- a/benchmarks/slopes/restarts.py
+++ b/benchmarks/slopes/restarts.py
@@ -14,9 +14,10 @@
 import msgspec
 import uvloop
 
-from benchmarks.slopes.fleet import ZONES, Fleet, Size, settings, unit_name
+from benchmarks.slopes.fleet import Fleet
 from benchmarks.slopes.processes import cpu_s, site
 from benchmarks.slopes.series import Series, processor_us, resident_mb, traced_mb
+from benchmarks.slopes.sizes import ZONES, Size, settings, unit_name
 from lanelead.decisions.interface import SECOND
 from lanelead.hosting.opening import Opening, pairs_of
 from lanelead.protocols.platform import Endpoints, listed
--- a/tests/test_hollow_fleet.py
+++ b/tests/test_hollow_fleet.py
@@ -7,7 +7,8 @@
 from copy import deepcopy
 from typing import Any
 
-from benchmarks.slopes.fleet import Fleet, Hollow, Size
+from benchmarks.slopes.fleet import Fleet, Hollow
+from benchmarks.slopes.sizes import Size
 from lanelead.relay.driver import Outcome
 
 SIZE = Size(12, 36, 20.0)
