--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -24,7 +24,8 @@
 
 SUBJECTS = (
     "decisions", "lists", "letters", "tenants", "latency",
-    "configuration", "membership", "votes", "restarts", "losses", "hollow", "distribution", "few",
+    "configuration", "membership", "votes", "restarts", "losses", "hollow",
+    "distribution", "few", "following",
 )  # fmt: skip
 
 
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -11,6 +11,7 @@
 import time
 import unittest
 from collections.abc import AsyncIterator
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -52,6 +53,10 @@
         }  # fmt: skip
         file = self.place.folder / f"relay-{number}.json"
         file.write_text(json.dumps(config))
+        await self.again(number, file)
+
+    async def again(self, number: int, file: Path) -> None:
+        """Starts a relay with the file as it stands."""
         with (self.place.folder / f"relay-{number}.log").open("ab") as log:
             self.processes[number] = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "lanelead", "node", stdout=log, stderr=log,
