--- a/benchmarks/slopes/following.py
+++ b/benchmarks/slopes/following.py
@@ -1,7 +1,7 @@
 """Real relays that follow the configuration, beside real ones that don't, in one run: processor time, memory.
 
 Three machines and six relays as processes over loopback, as tests/test_configuration_processes.py has them;
-nobody asks anything. By entries of the document: what a relay's process holds, and how long 1,000 entries that
+nobody asks anything. By entries of the document: what a relay holds, and how long 1,000 entries that
 change at once take from being published to the last relay's word that they are in force.
 """
 
