--- a/benchmarks/slopes/votes.py
+++ b/benchmarks/slopes/votes.py
@@ -95,7 +95,7 @@
     "seconds": ("s", "virtual, from the release's first word to its last"),
     "look.cpu": ("us", "processor time of one look at the build on trial, with the vote, a beat"),
     "look.share": ("share", "of a core, of all looks at one relay, during the release"),
-    "released": ("count", "1 where the good build was released within 240 s"),
+    "released": ("count", "1 where the good build was released within 40 s"),
 }
 CASES = {
     "quiet": "nothing changes for an hour",
