--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -60,6 +60,18 @@
         )  # fmt: skip
         self.processes.append(process)
 
+    async def listening(self) -> None:
+        """Guards against a client that waits for the others' relays to start, and is refused as silent."""
+        for port in self.ports:
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection("127.0.0.1", port)
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.close()
+                break
+
     async def client(self, number: int) -> Client:
         while True:
             try:
@@ -109,6 +121,7 @@
         found = Fleet(Path(name), place)
         try:
             await asyncio.gather(*(found.start(number) for number in range(RELAYS)))
+            await found.listening()
             yield found
         finally:
             for process in found.processes:
