--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -86,6 +86,27 @@
     return world
 
 
+def storm(many: int, seed: int, seconds: int = 30) -> World:
+    """Harsher, for safety alone: all propose all the time, letters take as long as tries, processes end at
+    every other step and come back at once, and a minority at a time without their disks."""
+    world, chance = World(many, seed), Random(f"storm {seed}")
+    assert world.run(20, lambda: all(machine.votes for machine in world.up()))
+    most = many - (many // 2 + 1)
+    for link in world.links.values():
+        link.loss, link.double, link.spread = 0.05, 0.3, chance.choice((0.05, 0.3, 1.0))
+    for step in range(seconds * 10):
+        for number, machine in world.machines.items():
+            if machine is None:
+                lost = [voter for voter in world.lost() if voter != number]
+                world.start(number, empty=bool(world.decided) and len(lost) < most and chance.random() < 0.7)
+        world.kills = chance.choice((0.0, 0.05))
+        for number in range(many):
+            if chance.random() < 0.5:
+                world.propose(number, proposal(f"change-{step}-{number}", f"tenant/t{chance.randrange(9)}"))
+        world.run(0.1)
+    return world
+
+
 class Schedules(unittest.TestCase):
     def test_three_machines(self) -> None:
         for seed in range(12):
@@ -102,6 +123,11 @@
             with self.subTest(seed=seed):
                 self.assertGreater(max(play(7, seed, 25, log=5).decided), 9)
 
+    def test_storms(self) -> None:
+        for seed in range(300, 306):
+            with self.subTest(seed=seed):
+                storm((3, 5)[seed % 2], seed)
+
     def test_many_proposers_at_once_each_get_theirs_once(self) -> None:
         world = World(5, 7)
         world.run(5)
