What a machine keeps of changes is bounded in bytes too

Change: 16 MiB of keys and values at most; a follower that lacks older ones compares buckets. Measured: its test fails without the bound.

--- a/lanelead/configuration/source.py
+++ b/lanelead/configuration/source.py
@@ -19,6 +19,7 @@
 from lanelead.protocols.configuration import CHANGE, Applied, Buckets, Change, Line, Outline
 
 KEPT = 1000  # changes told one by one; a follower that lacks more compares buckets, which costs less
+KEPT_BYTES = 16 << 20  # of their keys and values, at most
 AT_ONCE = 100  # changes of one line
 FROZEN = 10.0  # seconds for which a snapshot is given out before a newer one is made
 SNAPSHOTS = 3  # that are kept, so that whoever has an outline can finish
@@ -37,7 +38,8 @@
     history: str = ""
     document: Document = field(default_factory=Document)
     heard: float = 0.0  # when a majority of the machines was last heard
-    _changes: deque[Change] = field(default_factory=lambda: deque(maxlen=KEPT))
+    _changes: deque[Change] = field(default_factory=deque)
+    _size: int = 0  # bytes of the changes kept
     _digests: dict[int, str] = field(
         default_factory=dict
     )  # of the versions before and after each change kept
@@ -52,16 +54,25 @@
         if not self.history and change.version == 1:
             self.history = change.ident
         if change.version - 1 not in self._digests:  # a gap: what is before it is not kept
-            self._changes.clear()
+            self._forget(len(self._changes))
             self._digests.clear()
         self._changes.append(change)
+        self._size += _size(change)
         self._digests[change.version] = change.digest
-        self._digests.pop(change.version - KEPT - 1, None)
+        # Guards against memory that fills with changes: a follower that lacks those compares buckets.
+        while len(self._changes) > KEPT or (self._size > KEPT_BYTES and len(self._changes) > 1):
+            self._forget(1)
+
+    def _forget(self, many: int) -> None:
+        for _ in range(many):
+            gone = self._changes.popleft()
+            self._size -= _size(gone)
+            self._digests.pop(gone.version - 1, None)
 
     def start(self, document: Document, history: str) -> None:
         """From a snapshot that was on disk, or came from another machine."""
         self.document, self.history = document, history
-        self._changes.clear()
+        self._forget(len(self._changes))
         self._digests = {document.version: document.digest}
 
     def position(self, since: int, digest: str) -> int | None:
@@ -91,7 +102,7 @@
         """Some changes from this place on: one, or as many as a line may hold."""
         some, size = [self._changes[start]], 0
         for at in range(start + 1, min(len(self._changes), start + AT_ONCE)):
-            size += sum(len(entry.key) + len(entry.value) for entry in some[-1].entries)
+            size += _size(some[-1])
             if size > CHANGE:
                 break
             some.append(self._changes[at])
@@ -120,3 +131,7 @@
     def followers(self, now: float) -> list[Applied]:
         self._told = {relay: word for relay, word in self._told.items() if word[0] > now - FORGOTTEN}
         return [told for _, told in self._told.values()]
+
+
+def _size(change: Change) -> int:
+    return sum(len(entry.key) + len(entry.value) for entry in change.entries)
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 from random import Random
 
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lanelead.configuration import source as sources
 from lanelead.configuration.document import (
     Differs,
     Document,
@@ -201,6 +203,18 @@
         self.assertTrue(source.line(None, 0.0)[0].repair)
         self.assertEqual([], source.line(None, 0.0)[0].changes)
 
+    def test_large_changes_are_kept_by_their_bytes(self) -> None:
+        source, follower = self.source(1), Document()
+        follower.apply(source.line(0, 0.0)[0].changes[0])
+        with mock.patch.object(sources, "KEPT_BYTES", 5000):
+            for n in range(20):
+                made = change(source.document, entry("tenant/large", f"{n:01000}"))
+                source.document.apply(made)
+                source.decided(made)
+        self.assertIsNone(source.position(1, follower.digest))
+        self.assertIsNotNone(source.position(17, source._changes[0].digest))
+        self.assertLess(source._size, 5000)
+
     def test_who_falls_behind_while_it_watches_repairs(self) -> None:
         source = self.source(10)
         position = source.position(10, source.document.digest)
