What a warm unit was sent is forgotten again after the time to fall

At fault: decisions/guards.py _cold_room since the lots that turn: the look at what was sent, which drops what is old, came behind 'warm or', so that each trip to a warm unit was kept for ever. Change: it is looked at first, as before.

--- a/lanelead/decisions/guards.py
+++ b/lanelead/decisions/guards.py
@@ -121,5 +121,5 @@
         warm, duties, traffic = warmth(server, self._duties, now), self._duties, self._traffic
         usual = max(traffic.done.read(now) / 4, (self._figures.quota or traffic.taken.read(now) / 8) / 2)
         budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND / len(self._roster.ready)
-        lot, guarded = turned(server.lot, now / max(1, duties.fall_time)), duties.fall_time > 0
-        return warm >= 1 or not guarded or server.sent(now, duties.fall_time) + 1 <= budget + lot
+        lot, sent = turned(server.lot, now / max(1, duties.fall_time)), server.sent(now, duties.fall_time)
+        return warm >= 1 or duties.fall_time <= 0 or sent + 1 <= budget + lot
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -14,9 +14,10 @@
 from math import sqrt
 from unittest import mock
 
-from lanelead.decisions.servers import Server
+from lanelead.decisions.servers import Server, mine
 from lanelead.decisions.sums import turned
 from tests import hollow
+from tests.fake import FakeHost
 from tests.hollow import SECOND, play
 from tests.platform import Platform, Unit, free_port, good, platform
 from tests.test_node_processes import ROOT, Relay
@@ -40,6 +41,16 @@
             self.assertLessEqual(found.worst, 1.0)
 
 
+class Memory(unittest.TestCase):
+    def test_what_a_warm_unit_was_sent_is_forgotten_after_the_time_to_fall(self) -> None:
+        # 45 minutes of a day held each trip to each warm unit: 37 MB for 30.
+        host = FakeHost(units=2)
+        for _ in range(300):
+            host.end(host.sent(host.ask())[-1])
+            host.run(SECOND // 10)
+        self.assertLessEqual(max(len(mine(unit).cold_sends) for unit in host.units), 12)
+
+
 class Idle(unittest.TestCase):
     def test_no_relay_stands_idle_where_all_units_are_cold(self) -> None:
         """A tenth of the relays that are asked may: the lot of one falls late."""
