circle: the members' module split by what it does, behaviour unchanged

Change: records.py (what is kept, the figures), rows.py (what is taken from others' words and told on), tables.py (who is asked for a table), members.py (the host's calls, answers, the detector). No rule changed; the lines are the same but for heads and imports. The benchmark imports two constants from records.py.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -18,7 +18,8 @@
 import click
 
 from lanelead.circle.letters import DEAD, Ask
-from lanelead.circle.members import BEATS, HELPERS, Membership, Suspicion, Tempo
+from lanelead.circle.members import Membership, Tempo
+from lanelead.circle.records import BEATS, HELPERS, Suspicion
 from lanelead.decisions.interface import Ticks
 from lanelead.model.circle import SECOND, Town, Wires
 
--- a/lanelead/circle/members.py
+++ b/lanelead/circle/members.py
@@ -18,13 +18,7 @@
 
 from __future__ import annotations
 
-import zlib
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from math import ceil, log, log2, log10
-from random import Random
-from struct import Struct
-from typing import NamedTuple
+from math import log
 
 import msgspec
 
@@ -44,127 +38,16 @@
     Row,
     Table,
     read,
-    write,
 )
+from lanelead.circle.records import BEATS, ENOUGH, FAN, HELPERS, Address, Change, Probing, Suspicion, Tempo
+from lanelead.circle.tables import Tables
 from lanelead.decisions.interface import Ticks
 
-HASHED = Struct(">HQI")
-BEATS = 3  # in a period: a ping is sent at each of them until it is answered
-HELPERS = 3  # that are asked to ping in a member's place, at each beat but the first
-FAN = 3  # members that are told rumors at a beat
-WORST = 8  # of local health: periods are at most one and so many times as long
-ENOUGH = 3  # others that suspect the same, with whom the least wait is enough
-PAGES = 8  # letters that answer one call for the table
-UNHEARD = 20  # periods between calls on one that is dead, and the digest's age that a member goes by
-Address = tuple[str, int]
+__all__ = ["Address", "Change", "Membership", "Tempo"]
 
 
-@dataclass(frozen=True)
-class Tempo:
-    """`period`: of the failure detector; `forget`: how long the dead are remembered. Both in ticks."""
-
-    period: Ticks
-    forget: Ticks
-
-    def least(self, members: int) -> Ticks:
-        """The least wait of a suspicion: so many beats as gossip needs to reach all, and back."""
-        return int((6 + 2 * log2(members + 1) / log2(FAN + 1)) * self.period / BEATS)
-
-
-class Change(NamedTuple):
-    """What became of a member: its row before (None for one first heard of) and now."""
-
-    before: Row | None
-    now: Row
-
-
-@dataclass(slots=True)
-class Suspicion:
-    since: Ticks
-    by: dict[int, None]
-    asked: bool  # whether this member itself asks the suspect
-
-
-@dataclass(slots=True)
-class Probing:
-    """The ping of this period, or one sent in another's place."""
-
-    seq: int
-    to: int
-    until: Ticks
-    asker: tuple[int, int] | None = None  # whose, and its number there
-    nacks: int = 0
-    helpers: int = 0
-    done: bool = False
-
-
-@dataclass(slots=True)
-class Counts:
-    sent: int = 0
-    bytes: int = 0
-    unread: int = 0
-    suspected: int = 0
-    refuted: int = 0
-    syncs: int = 0
-
-
-@dataclass(slots=True)
-class Rumor:
-    what: Row | Claim
-    told: int = 0
-
-
-def hashed(row: Row) -> int:
-    return zlib.crc32(HASHED.pack(row.number, row.life, row.turn))
-
-
-class Membership:
-    """One member's view. `outbox` fills with (address, letter), `changes` with what became of members."""
-
-    def __init__(
-        self, own: Row, tempo: Tempo, seeds: Sequence[Address], chance: Random, now: Ticks,
-        known: Sequence[Row] = (),
-    ) -> None:  # fmt: skip
-        self.own, self._tempo, self._chance, self.now = own, tempo, chance, now
-        self._seeds = [seed for seed in seeds if seed != (own.host, own.port)]
-        self.rows: dict[int, Row] = {own.number: own, **{row.number: row for row in known}}
-        self.addresses: dict[int, Address] = {}  # as settings name them, which stand above what is told
-        self.outbox: list[tuple[Address, bytes]] = []
-        self.changes: list[Change] = []
-        self.counts = Counts()
-        self.health = 0
-        self.over: Row | None = None  # the later life that took this one's place
-        self._suspicions: dict[int, Suspicion] = {}
-        self._rumors: dict[int, Rumor] = {}
-        self._gone: dict[int, Ticks] = {}
-        self._ring: list[int] = []
-        self._probing: Probing | None = None
-        self._helping: dict[int, Probing] = {}
-        self._seq = chance.randrange(1 << 31)
-        self._beat_at = now + int(chance.random() * tempo.period / BEATS)
-        self._beat = 0
-        self._changed = now
-        self._digest = 0
-        for row in self.rows.values():
-            self._digest ^= hashed(row)
-        self._members = [row.number for row in self.rows.values() if row.number != own.number]
-        self._places = {number: place for place, number in enumerate(self._members)}
-        self._sync: tuple[Address, int, Ticks, int] | None = None  # from whom, from which, until, tries
-        self._met = bool(known)
-        self._tell(own)
-
-    # What others may ask
-
-    @property
-    def joined(self) -> bool:
-        return self._met or not self._seeds
-
-    def due(self) -> Ticks:
-        return self._beat_at
-
-    def present(self) -> list[Row]:
-        """All that are there, suspects among them, by number."""
-        return sorted((row for row in self.rows.values() if not row.gone), key=lambda row: row.number)
+class Membership(Tables):
+    """A member: what the host tells it, its answers, and the detector."""
 
     # What the host tells
 
@@ -237,136 +120,7 @@
                 [Claim(self.own.number, self.own.life, self.own.turn, LEFT, self.own.number)],
             )
 
-    # Rows
-
-    def _merge(self, row: Row) -> None:
-        known = self.rows.get(row.number)
-        if row.number == self.own.number:
-            self._of_own(row)
-        elif known is None and row.gone:
-            pass  # the dead of long ago are not brought back by those that remember them longer
-        elif known is None or row.rank > known.rank:
-            if row.state == SUSPECT:
-                self._suspect(row, row.number)  # a row does not say who suspects it
-            else:
-                self._set(row)
-
-    def _hear(self, claim: Claim) -> None:
-        known = self.rows.get(claim.number)
-        if claim.number == self.own.number:
-            self._of_own(claim)
-            return
-        if known is None or claim.life != known.life:
-            return  # a row must come first: a claim has no address
-        if (claim.life, claim.turn, claim.state) > known.rank:
-            row = msgspec.structs.replace(known, turn=claim.turn, state=claim.state)
-            if claim.state == SUSPECT:
-                self._suspect(row, claim.by)
-            else:
-                self._set(row, claim.by)
-        elif claim.state == SUSPECT == known.state and claim.turn == known.turn:
-            suspicion = self._suspicions.get(claim.number)
-            if suspicion is not None and claim.by not in suspicion.by and len(suspicion.by) <= ENOUGH:
-                suspicion.by[claim.by] = None
-                self._tell(claim)  # news: one more that can't reach it
-
-    def _of_own(self, told: Row | Claim) -> None:
-        """What others say of this member. Rule 2: only it raises its own turn."""
-        if told.life > self.own.life:
-            self._replaced(
-                told if isinstance(told, Row) else msgspec.structs.replace(self.own, life=told.life)
-            )
-        elif told.life == self.own.life and told.state != ALIVE and told.turn >= self.own.turn:
-            if self.own.state == LEFT:
-                return
-            self.own = msgspec.structs.replace(self.own, turn=told.turn + 1, state=ALIVE)
-            self._set(self.own)
-            self.counts.refuted += 1
-            self._feel(1)  # Lifeguard 3.1: one that must defend itself may be the slow one
-
-    def _replaced(self, later: Row) -> None:
-        self.over = later
-        self.changes.append(Change(self.own, later))
-
-    def _set(self, row: Row, by: int | None = None) -> None:
-        before = self.rows.get(row.number)
-        if before is not None and not before.gone:
-            self._digest ^= hashed(before)
-        if not row.gone:
-            self._digest ^= hashed(row)
-        self.rows[row.number] = row
-        self._changed = self.now
-        if row.state != SUSPECT:
-            self._suspicions.pop(row.number, None)
-        if row.number != self.own.number:
-            self._place(row)
-        if before is None or (before.life, before.state) != (row.life, row.state):
-            self.changes.append(Change(before, row))
-        known = before is not None and before.life == row.life  # a claim is shorter, but says no address
-        by = self.own.number if by is None else by
-        claim = Claim(row.number, row.life, row.turn, row.state, by)
-        self._tell(claim if known and row.state != ALIVE else row)
-
-    def _place(self, row: Row) -> None:
-        """Keeps the members that are there in a list, for draws in constant time."""
-        place = self._places.get(row.number)
-        if row.gone:
-            self._gone.setdefault(row.number, self.now)
-            if place is not None:
-                last = self._members.pop()
-                if last != row.number:
-                    self._members[place], self._places[last] = last, place
-                del self._places[row.number]
-        else:
-            self._gone.pop(row.number, None)
-            if place is None:
-                self._places[row.number] = len(self._members)
-                self._members.append(row.number)
-                # SWIM 4.3: a new member comes in at a random place of the round.
-                self._ring.insert(self._chance.randrange(len(self._ring) + 1), row.number)
-
-    def _suspect(self, row: Row, by: int) -> None:
-        self._set(row, by)
-        self._suspicions[row.number] = Suspicion(self.now, {by: None}, by == self.own.number)
-
-    # Letters
-
-    def _address(self, number: int) -> Address:
-        row = self.rows[number]
-        return self.addresses.get(number, (row.host, row.port))
-
-    def _send(self, to: Address, letter: AnyLetter, first: Iterable[Row | Claim] = ()) -> None:
-        """Sends it with what must be in it, and rumors as there is room."""
-        forced = list(first)
-        numbers = {rumor.number for rumor in forced}
-        rumors = [rumor for rumor in self._fresh() if rumor.what.number not in numbers]
-        text, taken = write(letter, [*forced, *(rumor.what for rumor in rumors)])
-        limit = 4 * ceil(log10(len(self.rows) + 1) + 1e-9)
-        for rumor in rumors[: max(0, len(taken) - len(forced))]:
-            rumor.told += 1
-            if rumor.told >= limit:
-                self._rumors.pop(rumor.what.number, None)
-        self.counts.sent += 1
-        self.counts.bytes += len(text)
-        self.outbox.append((to, text))
-
-    def _fresh(self) -> list[Rumor]:
-        """The rumors told least, a few more than a letter holds."""
-        return sorted(self._rumors.values(), key=lambda rumor: rumor.told)[:12]
-
-    def _tell(self, what: Row | Claim) -> None:
-        self._rumors.pop(what.number, None)
-        self._rumors[what.number] = Rumor(what)
-
-    def _head(self) -> tuple[int, int, int, list[Row], list[Claim]]:
-        return self.own.number, self.own.life, self._digest, [], []
-
-    def _ill(self, number: int) -> list[Row | Claim]:
-        """What is held against a member, for itself to hear first (Lifeguard 3.3, the buddy system)."""
-        row = self.rows.get(number)
-        if row is None or row.state == ALIVE:
-            return []
-        return [Claim(number, row.life, row.turn, row.state, self.own.number)]
+    # Answers
 
     def _answer(self, letter: AnyLetter, source: Address, known: Row | None) -> None:
         sender = letter.sender
@@ -407,26 +161,8 @@
             probing.done = True
             self._feel(-1)
 
-    def _ping(self, number: int, seq: int) -> None:
-        row = self.rows[number]
-        self._send(self._address(number), Ping(*self._head(), seq, number, row.life), self._ill(number))
-
-    def _next(self) -> int:
-        self._seq = (self._seq + 1) & 0xFFFFFFFF
-        return self._seq
-
     # The detector
 
-    def _feel(self, step: int) -> None:
-        self.health = min(WORST, max(0, self.health + step))
-
-    def _span(self) -> Ticks:
-        return self._tempo.period * (1 + self.health)
-
-    def _draw(self, many: int, but: int = -1) -> list[int]:
-        drawn = self._chance.sample(self._members, min(len(self._members), many + 1))
-        return [number for number in drawn if number != but][:many]
-
     def _period(self) -> None:
         last = self._probing
         if last is not None and not last.done and last.to in self.rows:
@@ -497,72 +233,3 @@
                 if not self._rumors:
                     break
                 self._send(self._address(number), Gossip(*self._head()))
-
-    # Those that have just come, or were cut off
-
-    def _seek(self) -> None:
-        if self._sync is not None:
-            to, first, until, tries = self._sync
-            if self.now >= until:
-                self._sync = None
-                if tries > 0:
-                    self._call(to, first, tries - 1)
-        if self._beat % BEATS:
-            return
-        if not self.joined and self._sync is None:
-            self._call(self._chance.choice(self._seeds), 0, 0)
-        elif self._chance.random() < 1 / UNHEARD:
-            dead = [number for number in self._gone if self.rows[number].state == DEAD]
-            if dead:
-                self._ping(self._chance.choice(dead), self._next())
-            elif self._seeds and not self._members:
-                self._call(self._chance.choice(self._seeds), 0, 0)
-
-    def _call(self, to: Address, first: int, tries: int) -> None:
-        self._sync = to, first, self.now + self._span(), tries
-        self.counts.syncs += 1
-        self._send(to, Join(*self._head(), first, False), [self.own])
-
-    def _differs(self, source: Address, unknown: bool) -> None:
-        """The other takes others to be there: what gossip under way would tell is not asked for."""
-        if self._sync is None and (unknown or self.now - self._changed > self._tempo.least(len(self.rows))):
-            self._call(source, 0, 3)
-
-    def _show(self, call: Join, source: Address) -> None:
-        ordered = sorted(number for number in self.rows if number >= call.first)
-        place = 0
-        for page in range(PAGES):
-            first = ordered[place] if place < len(ordered) else 65536
-            rows = [self.rows[number] for number in ordered[place : place + 12]]
-            letter = Table(*self._head(), call.first if page == 0 else first, 0, False)
-            place += self._page_of(letter, rows, source, ordered, place, page)
-            if place >= len(ordered):
-                break
-
-    def _page_of(
-        self, letter: Table, rows: list[Row], source: Address, ordered: list[int], place: int, page: int
-    ) -> int:
-        sizing = Table(*self._head(), letter.first, 65536, True)
-        taken = len(write(sizing, rows)[1])
-        after = place + taken
-        letter.then = ordered[after] if after < len(ordered) else 65536
-        letter.more = page < PAGES - 1 and letter.then < 65536
-        text, _ = write(letter, rows[:taken])
-        self.counts.sent += 1
-        self.counts.bytes += len(text)
-        self.outbox.append((source, text))
-        return taken
-
-    def _page(self, table: Table, source: Address) -> None:
-        self._met = True
-        if self._sync is None:
-            return
-        to, first, _, _ = self._sync
-        if table.first != first:
-            return  # one before it was lost: asked for again when time is up
-        if table.then >= 65536:
-            self._sync = None
-        elif table.more:
-            self._sync = to, table.then, self.now + self._span(), 3
-        else:
-            self._call(to, table.then, 3)
