circle: regions apart for longer than the dead are remembered meet again

Cause: members.py, `_expire` dropped a dead one's row after `forget`; `_seek` asked only rows that are dead, and seeds only while nobody else was there. Two regions of two or more relays that lost each other for longer had no address of each other. Who is there answers with its row, the digests do the rest. One that is alone asks in each period.

--- a/lanelead/circle/members.py
+++ b/lanelead/circle/members.py
@@ -12,8 +12,9 @@
 
 Sources: Das, Gupta, Motivala (SWIM, DSN 2002), sections 3 and 4; Dadgar, Phillips, Currey (Lifeguard, DSN-W
 2018), section 3. Departures: a ping is repeated within its period, and a suspect is asked again at each beat;
-gossip has beats of its own; digests in each letter show what gossip has missed; the dead are asked now and
-then, so that circles that were cut apart find each other.
+gossip has beats of its own; digests in each letter show what gossip has missed; the dead, seeds that are not
+there and, long after they are forgotten, some of the dead's addresses are asked now and then, so that circles
+that were cut apart find each other.
 """
 
 from __future__ import annotations
@@ -221,11 +222,7 @@
                 self._set(msgspec.structs.replace(row, state=DEAD), self.own.number)
             elif self._asks(suspicion, waited, wait):
                 self._ping(number, self._next())
-        for number, at in list(self._gone.items()):
-            if self.now - at < self._tempo.forget:
-                break  # those that went first stand first
-            del self._gone[number], self.rows[number]
-            self._rumors.pop(number, None)
+        self._forget()
 
     def _gossip(self) -> None:
         if self._rumors:
--- a/lanelead/circle/records.py
+++ b/lanelead/circle/records.py
@@ -18,7 +18,9 @@
 WORST = 8  # of local health: periods are at most one and so many times as long
 ENOUGH = 3  # others that suspect the same, with whom the least wait is enough
 PAGES = 8  # letters that answer one call for the table
-UNHEARD = 20  # periods between calls on one that is dead, and the digest's age that a member goes by
+UNHEARD = 20  # periods between calls on one that is not heard of
+KEPT = 32  # addresses of forgotten dead that are called on: some of each region that is cut off
+CALLED = 144  # times `forget`, for which they are
 Address = tuple[str, int]
 
 
--- a/lanelead/circle/rows.py
+++ b/lanelead/circle/rows.py
@@ -8,10 +8,12 @@
 
 import msgspec
 
-from lanelead.circle.letters import ALIVE, LEFT, SUSPECT, AnyLetter, Claim, Ping, Row, write
+from lanelead.circle.letters import ALIVE, DEAD, LEFT, SUSPECT, AnyLetter, Claim, Ping, Row, write
 from lanelead.circle.records import (
     BEATS,
+    CALLED,
     ENOUGH,
+    KEPT,
     WORST,
     Address,
     Change,
@@ -44,6 +46,7 @@
         self._suspicions: dict[int, Suspicion] = {}
         self._rumors: dict[int, Rumor] = {}
         self._gone: dict[int, Ticks] = {}
+        self._kept: dict[int, tuple[Address, Ticks]] = {}  # of the forgotten dead; until when
         self._ring: list[int] = []
         self._probing: Probing | None = None
         self._helping: dict[int, Probing] = {}
@@ -153,6 +156,7 @@
                 del self._places[row.number]
         else:
             self._gone.pop(row.number, None)
+            self._kept.pop(row.number, None)
             if place is None:
                 self._places[row.number] = len(self._members)
                 self._members.append(row.number)
@@ -163,6 +167,27 @@
         self._set(row, by)
         self._suspicions[row.number] = Suspicion(self.now, {by: None}, by == self.own.number)
 
+    def _forget(self) -> None:
+        """Drops rows of long ago. Some addresses of the dead stay longer: of a region that is only cut off
+        nobody here may know another."""
+        for number, at in list(self._gone.items()):
+            if self.now - at < self._tempo.forget:
+                break  # those that went first stand first
+            if self.rows[number].state == DEAD:
+                self._keep(number)
+            del self._gone[number], self.rows[number]
+            self._rumors.pop(number, None)
+        for number, (_, until) in list(self._kept.items()):
+            if self.now < until:
+                break
+            del self._kept[number]
+
+    def _keep(self, number: int) -> None:
+        """Bounded; which one goes is drawn, so that the few that die late don't drive out a whole region."""
+        if len(self._kept) >= KEPT:
+            del self._kept[self._chance.choice(list(self._kept))]
+        self._kept[number] = self._address(number), self.now + CALLED * self._tempo.forget
+
     # Letters
 
     def _address(self, number: int) -> Address:
--- a/lanelead/circle/tables.py
+++ b/lanelead/circle/tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lanelead.circle.letters import DEAD, Join, Row, Table, write
+from lanelead.circle.letters import DEAD, Join, Ping, Row, Table, write
 from lanelead.circle.records import BEATS, PAGES, UNHEARD, Address
 from lanelead.circle.rows import Rows
 
@@ -21,12 +21,24 @@
             return
         if not self.joined and self._sync is None:
             self._call(self._chance.choice(self._seeds), 0, 0)
-        elif self._chance.random() < 1 / UNHEARD:
-            dead = [number for number in self._gone if self.rows[number].state == DEAD]
-            if dead:
-                self._ping(self._chance.choice(dead), self._next())
-            elif self._seeds and not self._members:
-                self._call(self._chance.choice(self._seeds), 0, 0)
+        elif not self._members or self._chance.random() < 1 / UNHEARD:
+            self._look()  # one that is alone has nothing else to ask, and its periods have grown long
+
+    def _look(self) -> None:
+        """Pings one that may be there unheard of: a dead one, a seed, or where one forgotten was. Whoever is
+        there answers with its own row, and the digests differ. Seeds that are there already cost nothing."""
+        dead = [number for number in self._gone if self.rows[number].state == DEAD]
+        here = set(map(self._address, self._places))
+        # A seed that is kept too is called on no more often than others: it may be dead for good.
+        spots = dict.fromkeys([*self._seeds, *(address for address, _ in self._kept.values())])
+        unheard = [spot for spot in spots if spot not in here]
+        if not dead and not unheard:
+            return
+        drawn = self._chance.randrange(len(dead) + len(unheard))
+        if drawn < len(dead):
+            self._ping(dead[drawn], self._next())
+        else:  # whoever it is: its number and life are not known
+            self._send(unheard[drawn - len(dead)], Ping(*self._head(), self._next(), self.own.number, 0))
 
     def _call(self, to: Address, first: int, tries: int) -> None:
         self._sync = to, first, self.now + self._span(), tries
--- a/lanelead/model/circle.py
+++ b/lanelead/model/circle.py
@@ -44,6 +44,7 @@
         self.wires, self._tempo, self._seed = wires, tempo, seed
         self.chance = Random(f"circle {seed}")
         self.members: dict[int, Membership] = {}
+        self.seeds: tuple[int, ...] = (0, 1, 2)  # in the settings of those that start from now on
         self.stopped: dict[int, Ticks] = {}  # until when
         self.found: list[tuple[Ticks, int, Change]] = []  # when, by whom, what
         self.wrong: Counter[str] = Counter()  # accusations of members that run, by what came of them
@@ -55,23 +56,26 @@
         for row in rows:
             self._begin(row, rows if warm else [row])
 
-    def row(self, number: int, life: int) -> Row:
+    def row(self, number: int, life: int, place: int = 0) -> Row:
+        """`place`: which of its number's addresses it has; letters to another one are lost."""
         zone = "abc"[number % 3]
-        host = f"10.{number >> 8}.{number & 255}"
+        host = f"10.{number >> 8}.{number & 255}" + (f".{place}" if place else "")
         return Row(number, life, 0, ALIVE, number < 5, zone, "ab"[zone == "c"], host, PORT)
 
     def _begin(self, own: Row, known: list[Row]) -> None:
-        seeds = [(row.host, row.port) for row in map(self.row, range(3), [1] * 3) if row.number != own.number]
+        seeds = [
+            (row.host, row.port) for row in (self.row(n, 1) for n in self.seeds) if row.number != own.number
+        ]
         chance = Random(f"{self._seed} {own.number} {own.life}")
         others = [row for row in known if row.number != own.number]
         self.members[own.number] = self._kind(own, self._tempo, seeds, chance, self.now, others)
         self._wake(own.number)
 
-    def start(self, number: int, life: int) -> None:
+    def start(self, number: int, life: int, place: int = 0) -> None:
         """A process with nothing but its settings."""
         self.stopped.pop(number, None)
         self._held.pop(number, None)
-        self._begin(self.row(number, life), [])
+        self._begin(self.row(number, life, place), [])
 
     def kill(self, number: int) -> None:
         del self.members[number]
@@ -99,6 +103,8 @@
             receiver = (int(place[1]) << 8) + int(place[2])
             if wires.cut(sender, receiver) or chance.random() < wires.loss:
                 continue
+            if receiver in self.members and self.members[receiver].own.host != host:
+                continue  # it has moved
             for _ in range(1 + (chance.random() < wires.double)):
                 self._push(
                     self.now + wires.least + int(chance.random() * wires.spread), receiver, text, source
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -91,9 +91,17 @@
         self.assertEqual({8}, {member.rows[5].life for member in town.members.values()})
 
     def test_all_at_once_with_nothing_find_each_other(self) -> None:
-        town = Town(30, 6, TEMPO, Wires(loss=0.2), warm=False)
-        town.run(20 * SECOND)
-        self.assertTrue(town.agreed())
+        for seed in range(6, 10):
+            wires = Wires(loss=0.2)
+            town = Town(30, seed, TEMPO, wires, warm=False)
+            while not town.agreed():
+                town.run(town.now + SECOND // 4)
+                self.assertLess(town.now, 5 * SECOND)
+            town.run(20 * SECOND)  # at this loss someone may just be suspected; nobody is missed
+            self.assertEqual([30] * 30, [len(view) for view in town.views()])
+            wires.loss = 0
+            town.run(22 * SECOND)
+            self.assertTrue(town.agreed())
 
     def test_one_that_was_stopped_blames_nobody_and_comes_back_in_the_same_life(self) -> None:
         town = Town(12, 7, TEMPO, Wires())
