--- a/lanelead/configuration/follower.py
+++ b/lanelead/configuration/follower.py
@@ -19,7 +19,7 @@
 from random import Random
 
 from lanelead.configuration.acts import Act, AskBuckets, AskOutline, InForce, Leave, Note, Place, Told, Watch
-from lanelead.configuration.document import Document, Refused, bucket_of, sums_of
+from lanelead.configuration.document import Document, Refused, TooLarge, bucket_of, sums_of
 from lanelead.protocols.configuration import Applied, Buckets, Line, Outline
 
 SILENCE = 1.2  # seconds without a line; a source writes one each 0.4 s
@@ -32,8 +32,14 @@
 ANSWER = 3.0  # seconds for an outline or buckets
 PART = 16384  # bytes of buckets asked for at once, about
 FIRST = 16  # buckets asked for first, while their size is not known
+UNANSWERED = 3  # outlines and buckets in a row that could not be had, after which another source is tried
+OVER = (40.0, 80.0)  # seconds until a document over the bounds is looked at again
 APPLIED = 0.2  # seconds between two words on what is in force, at the least
 SIGN = 10.0  # and at the most
+LARGER = (
+    "the last good one stays in force: raise most_entries or most_bytes in the file's section configuration "
+    "and restart this relay, or remove entries"
+)
 
 
 @dataclass
@@ -58,6 +64,7 @@
     since: float = 0.0  # when something was asked
     pause: float = 0.0  # nothing before this
     part: int = FIRST
+    unanswered: int = 0
 
 
 class Follower:
@@ -94,7 +101,11 @@
         if source != self._current:
             return
         self._heard, known = now, self._known[source]
-        known.behind, known.head, known.tried, known.failures = line.behind_ms, line.head, now, 0
+        known.behind, known.head, known.tried = line.behind_ms, line.head, now
+        if now >= self._since + SETTLED[0]:
+            # Guards against a source that says a good line and then fails, over and over: it would be asked
+            # again ten times a second, and be preferred to others.
+            known.failures = 0
         self.lines += 1
         if self.history and line.history and line.history != self.history:
             self._another_history(source, line, now)
@@ -104,7 +115,7 @@
             self._opened = self._untold = True
             # Guards against links so slow that no watch would ever be opened in the usual time.
             self._patience, self._slow = min(PATIENCE, max(OPENS, 2 * (now - self._since))), 0
-            if line.at is not None and self.document.version < line.at:
+            if line.at is not None and self.document.version < line.at <= line.head:
                 self.document.version = line.at  # what it holds is as it was then
         try:
             for change in line.changes if self._repair is None else ():
@@ -152,24 +163,35 @@
             self._failed(source, f"buckets of version {buckets.version}", now)
             self.tick(now)
             return
-        wanted = dict.fromkeys(repair.missing)
+        wanted, over = dict.fromkeys(repair.missing), ""
         try:
             for number, entries in buckets.buckets.items():
                 if number in wanted:
                     repair.draft.replace(number, entries, sums[number])
                     del wanted[number]
+        except TooLarge as fault:
+            over = str(fault)
         except Refused as fault:
             self._failed(source, str(fault), now)
-        repair.missing = list(wanted)
+        repair.missing, repair.unanswered = list(wanted), 0
         repair.part = max(1, min(256, PART * len(buckets.buckets) // max(1, size)))
         self._pay(size, now)
+        if over:
+            # Guards against fetching again and again what can't be held: no other source has less of it.
+            self._note("the configuration is larger than this relay may hold", over, LARGER)
+            repair.outline, repair.pause = None, now + self._chance.uniform(*OVER)
         self.tick(now)
 
     def gone(self, source: int, now: float) -> None:
         """The snapshot that buckets were asked of is not kept any more, or the answer never came."""
         if (repair := self._asked(source)) is not None:
-            repair.asked, repair.outline = False, None
+            repair.asked, repair.outline, repair.unanswered = False, None, repair.unanswered + 1
+            repair.part = max(1, repair.part // 2)  # it may have been more than one answer can hold
             repair.pause = now + self._chance.uniform(*AGAIN) / 5
+            if repair.unanswered >= UNANSWERED:
+                # Guards against a source that tells changes but no snapshot, where others have one.
+                repair.unanswered = 0
+                self._failed(source, "no outline or buckets to be had", now)
             self.tick(now)
 
     def tick(self, now: float) -> None:
@@ -328,7 +350,7 @@
 
     def _go_on(self, source: int, repair: _Repair, now: float) -> None:
         if repair.asked and now >= repair.since + ANSWER:
-            repair.asked, repair.outline = False, None
+            self.gone(source, now)
         if repair.asked or now < repair.pause:
             return
         if repair.outline is None:
@@ -342,11 +364,7 @@
 
     def _settle(self, source: int, repair: _Repair, outline: Outline, now: float) -> None:
         self._repair = None
-        try:
-            repair.draft.settle(outline)
-        except Refused as fault:
-            self._failed(source, str(fault), now)
-            return
+        repair.draft.settle(outline)  # each bucket was held against the outline, and that against its digest
         places, before = dict.fromkeys(self.document.differing(outline)), self.document
         keys = [key for key in {**before.entries, **repair.draft.entries} if bucket_of(key) in places]
         self.document = repair.draft
--- a/lanelead/node/configuration.py
+++ b/lanelead/node/configuration.py
@@ -67,8 +67,10 @@
                     await asyncio.wait_for(self._woken.wait(), min(wait, 60.0))
                 self.follower.tick(self._loop.time())
         finally:
-            for task in list(self._tasks):
+            left = list(self._tasks)
+            for task in left:
                 task.cancel()
+            await asyncio.gather(*left, return_exceptions=True)
 
     def _carry(self) -> None:
         while self.follower.acts:
