Bad input at the sockets of a relay's feed: tests, and two faults mended

A feed could lose its cancellation: asyncio.wait_for of Python 3.11 swallows one that comes as the event does, and the relay's stop then waited for it without end (seen as a test that hung). asyncio.timeout instead.

The branch for the freshest of sources that are all old had no effect (any other becomes one to be tried again 5 s after its last word, which is as soon): taken out by its guards' tests, it changed nothing, and is removed.

--- a/lanelead/configuration/follower.py
+++ b/lanelead/configuration/follower.py
@@ -27,7 +27,8 @@
 PATIENCE = 10.0  # seconds until the first line at the most, where all are slow
 STALE = 1500.0  # milliseconds since a source heard a majority, after which a fresher one is looked for
 AGAIN = (0.1, 5.0)  # seconds until a source that failed is asked again: the first time, and at most
-SETTLED = (5.0, 10.0)  # seconds for which an old word is followed before others are tried again
+SETTLED = 5.0  # seconds for which a source's old word counts before it is tried again
+OTHERWISE = 10.0  # seconds until a source of another history is asked again
 NEARER = (20.0, 40.0)  # seconds after which a nearer source is tried again
 ANSWER = 3.0  # seconds for an outline or buckets
 PART = 16384  # bytes of buckets asked for at once, about
@@ -102,7 +103,7 @@
             return
         self._heard, known = now, self._known[source]
         known.behind, known.head, known.tried = line.behind_ms, line.head, now
-        if now >= self._since + SETTLED[0]:
+        if now >= self._since + SETTLED:
             # Guards against a source that says a good line and then fails, over and over: it would be asked
             # again ten times a second, and be preferred to others.
             known.failures = 0
@@ -251,7 +252,7 @@
     def _old(self, source: int, now: float) -> bool:
         known = self._known[source]
         late = known.behind > STALE or known.head < self.document.version
-        return late and now < known.tried + SETTLED[0]
+        return late and now < known.tried + SETTLED
 
     def _follow(self, source: int, now: float) -> None:
         if self._current is not None:
@@ -285,12 +286,6 @@
             fresh = [n for n in others if not self._old(n, now)]
             if fresh:
                 self._try(fresh[0], now)
-            elif now >= self._since + SETTLED[0]:
-                best = max([current, *others], key=lambda n: (self._known[n].head, -self._known[n].behind))
-                if best != current:
-                    self._try(best, now)
-                else:  # all are old: this one is stayed with, and the others asked again after a while
-                    self._since = now + self._chance.uniform(0, SETTLED[1] - SETTLED[0])
         elif now >= self._stay:
             self._stay = now + self._chance.uniform(*NEARER)
             nearer = [n for n in self._order if self._rank(n) < self._rank(current)]
@@ -332,7 +327,7 @@
             "if the machines were set up anew on purpose, restart this relay; else restore their disks",
         )
         self._failed(source, "another history", now)
-        known.again = now + SETTLED[1]
+        known.again = now + OTHERWISE
 
     # Repair
 
--- a/lanelead/node/configuration.py
+++ b/lanelead/node/configuration.py
@@ -64,7 +64,9 @@
                 self._carry()
                 wait = max(0.01, self.follower.due - self._loop.time())
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(self._woken.wait(), min(wait, 60.0))
+                    # Not wait_for, which loses a cancellation that comes as the event does (Python 3.11).
+                    async with asyncio.timeout(min(wait, 60.0)):
+                        await self._woken.wait()
                 self.follower.tick(self._loop.time())
         finally:
             left = list(self._tasks)
--- /dev/null
+++ b/tests/configurationmachine.py
@@ -0,0 +1,184 @@
+"""A machine that tells a configuration, in a test's hand: it answers as one does, or as the test says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from lanelead.configuration.kinds import Value
+from lanelead.configuration.source import Gone, Source
+from lanelead.http import writing
+from lanelead.http.serving import STREAM, chunk
+from lanelead.node.config import Following, SourceAt
+from lanelead.node.configuration import Feed
+from lanelead.protocols.configuration import Entry, Line
+from lanelead.protocols.records import encode
+from tests.configurationhand import change
+
+Answer = Callable[["Machine", asyncio.StreamWriter], Awaitable[None]]
+WATCH, OUTLINE = "/configuration/watch", "/configuration/outline"
+BUCKETS, APPLIED = "/configuration/buckets", "/configuration/applied"
+
+
+class Machine:
+    """`says`: by path, what it says instead of what it should."""
+
+    def __init__(self) -> None:
+        self.source = Source()
+        self.says: dict[str, Answer] = {}
+        self.asked: list[str] = []  # paths
+        self.written = 0
+        self.open = 0  # connections
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: dict[asyncio.Task[None], None] = {}
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._met, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def publish(self, *entries: Entry) -> None:
+        made = change(self.source.document, *entries)
+        self.source.document.apply(made)
+        self.source.decided(made)
+
+    def count(self, path: str) -> int:
+        return self.asked.count(path)
+
+    async def write(self, writer: asyncio.StreamWriter, text: bytes) -> None:
+        if writer.is_closing():
+            raise ConnectionResetError
+        self.written += len(text)
+        writer.write(text)
+        await writer.drain()
+
+    async def answer(self, writer: asyncio.StreamWriter, status: int, body: bytes) -> None:
+        await self.write(writer, writing.answer(status, (), body, keep=False))
+
+    async def _met(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks[task] = None
+        self.open += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            target = urlsplit((await reader.readuntil(b"\r\n\r\n")).split()[1].decode())
+            query = {name: values[0] for name, values in parse_qs(target.query).items()}
+            self.asked.append(target.path)
+            if target.path in self.says:
+                await self.says[target.path](self, writer)
+            else:
+                await self._usual(target.path, query, reader, writer)
+        self.open -= 1
+        writer.close()
+        self._tasks.pop(task, None)
+
+    async def _usual(
+        self, path: str, query: Mapping[str, str], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        source, loop = self.source, asyncio.get_running_loop()
+        if path == WATCH:
+            await self.write(writer, STREAM)
+            position = source.position(int(query["from"]), query["digest"])
+            first: dict[str, Any] = {"at": position}
+            while not reader.at_eof():
+                source.heard = loop.time()
+                line, position = source.line(position, loop.time())
+                line, first = msgspec.structs.replace(line, **first), {}
+                await self.write(writer, chunk(encode(line) + b"\n"))
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.05):
+                        await reader.read(1)
+        elif path == OUTLINE:
+            await self.answer(writer, 200, encode(source.outline(loop.time())))
+        elif path == BUCKETS:
+            numbers = [int(number) for number in query["numbers"].split(",")]
+            try:
+                found = source.buckets(int(query["version"]), numbers)
+            except Gone:
+                await self.answer(writer, 410, b"{}")
+            else:
+                await self.answer(writer, 200, encode(found))
+        else:
+            await self.answer(writer, 200, b'{"version":0}')
+
+
+def line(source: Source) -> bytes:
+    """A good sign of life."""
+    return encode(Line(source.history, source.document.version, 0.0)) + b"\n"
+
+
+class Log:
+    def __init__(self) -> None:
+        self.rows: list[tuple[str, dict[str, Any]]] = []
+
+    def warning(self, text: str, **more: Any) -> None:
+        self.rows.append((text, more))
+
+    error = warning
+
+    def said(self, text: str) -> list[dict[str, Any]]:
+        return [more for event, more in self.rows if text in event]
+
+
+class Followed:
+    """A feed that follows these machines, the first one of its own zone."""
+
+    def __init__(
+        self, machines: Sequence[Machine], entries: Sequence[tuple[str, bytes]], **more: Any
+    ) -> None:
+        self.log, self.changed = Log(), list[str]()
+        sources = [SourceAt(f"127.0.0.1:{at.port}", f"zone-{n}", "one") for n, at in enumerate(machines)]
+        more = {"zone": "zone-0", "region": "one", "catch_up_bytes_per_s": 1e8, **more}
+        following = Following(sources, **more)
+        self.feed = Feed(
+            asyncio.get_running_loop(), 7, following, entries, self._put, Random(5), self.log
+        )  # fmt: skip
+
+    def _put(self, keys: Sequence[str], values: Mapping[str, Value]) -> None:
+        self.changed += keys
+
+    @property
+    def version(self) -> int:
+        return self.feed.follower.document.version
+
+    async def until(self, version: int) -> None:
+        while self.version < version:
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def machines(count: int) -> AsyncIterator[list[Machine]]:
+    found = [Machine() for _ in range(count)]
+    try:
+        for machine in found:
+            await machine.start()
+        yield found
+    finally:
+        for machine in found:
+            await machine.stop()
+
+
+@contextlib.asynccontextmanager
+async def following(
+    machines: Sequence[Machine], entries: Sequence[tuple[str, bytes]] = (), **more: Any
+) -> AsyncIterator[Followed]:
+    found = Followed(machines, entries, **more)
+    task = asyncio.create_task(found.feed.run())
+    try:
+        yield found
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
