A feed that has no first line yet waits instead of looking a hundred times a second

due named a time long past until the first line had come. A watch that was left never tells its end (it is cancelled), so the look at that was without effect and is gone. Tests: faults of the program itself are said, of many unfit values some are.

--- a/lanelead/configuration/follower.py
+++ b/lanelead/configuration/follower.py
@@ -212,13 +212,14 @@
 
     @property
     def due(self) -> float:
-        times = [self._told_at + (APPLIED if self._untold else SIGN)]
         if self._current is None:
-            times += [known.again for known in self._known]
-            return min(times[1:], default=times[0])
-        times.append(self._heard + (SILENCE if self._opened else self._patience))
+            return min((known.again for known in self._known), default=self._told_at + SIGN)
+        times = [self._heard + (SILENCE if self._opened else self._patience)]
         if self._trial is not None:
             times.append(self._trial[1] + self._patience)
+        if not self._opened:  # nothing is told or asked before the first line: no time for it is due
+            return min(times)
+        times.append(self._told_at + (APPLIED if self._untold else SIGN))
         if self._repair is not None:
             times.append(self._repair.since + ANSWER if self._repair.asked else self._repair.pause)
         return min(times)
--- a/lanelead/node/configuration.py
+++ b/lanelead/node/configuration.py
@@ -123,7 +123,6 @@
 
     async def _watch(self, source: int, since: int, digest: str) -> None:
         path = b"/configuration/watch?from=%d&digest=%s" % (since, digest.encode())
-        mine = asyncio.current_task()
         reason = "the watch ended"
         try:
             async for text in stream(self._loop, self._sources[source], path, 2 * SILENCE):
@@ -131,8 +130,7 @@
                 self._woken.set()
         except (Failed, Malformed, TimeoutError) as fault:
             reason = str(fault)
-        if mine is not None and self._tasks.get(mine) == source:  # not one that was left meanwhile
-            self.follower.ended(source, reason, self._loop.time())
+        self.follower.ended(source, reason, self._loop.time())
 
     async def _outline(self, source: int) -> None:
         try:
--- a/tests/configurationhand.py
+++ b/tests/configurationhand.py
@@ -75,6 +75,7 @@
         for _ in range(round(seconds / step)):
             self.now += step
             self.follower.tick(self.now)
+            assert self.follower.due > self.now, "a host that waits until then would not wait"
 
     def line(self, source: int, head: int, *changes: Change, **more: Any) -> None:
         fields: dict[str, Any] = {"history": HISTORY, "behind_ms": 0.0, **more}
--- a/tests/configurationmachine.py
+++ b/tests/configurationmachine.py
@@ -155,7 +155,8 @@
         return self.feed.follower.document.version
 
     async def until(self, version: int) -> None:
-        while self.version < version:
+        """That version is in force, and put so."""
+        while self.version < version or self.feed.follower.acts:
             await asyncio.sleep(0.01)
 
 
@@ -173,8 +174,9 @@
 
 @contextlib.asynccontextmanager
 async def following(
-    machines: Sequence[Machine], entries: Sequence[tuple[str, bytes]] = (), **more: Any
+    machines: Sequence[Machine], entries: Sequence[tuple[str, bytes]] = (), faults: bool = False, **more: Any
 ) -> AsyncIterator[Followed]:
+    """`faults`: of the program itself are expected."""
     found = Followed(machines, entries, **more)
     task = asyncio.create_task(found.feed.run())
     try:
@@ -182,3 +184,5 @@
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+    if not faults:
+        assert not found.log.said("following the configuration failed"), found.log.rows
--- a/tests/test_configuration_feed.py
+++ b/tests/test_configuration_feed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 import msgspec
 
@@ -150,6 +151,33 @@
                 self.assertEqual(1, len(relay.log.said("an entry of the configuration was refused")))
                 self.assertEqual({"later": 1}, relay.feed.values.unknown)
 
+    @live
+    async def test_of_many_unfit_values_some_are_said_and_all_are_counted(self) -> None:
+        async with machines(1) as (machine,):
+            machine.publish(*(entry(f"tenant/x{number}", []) for number in range(25)))
+            async with following([machine]) as relay:
+                await relay.until(1)
+                while not machine.count(APPLIED):
+                    await asyncio.sleep(0.01)
+                self.assertEqual(10, len(relay.log.rows))
+                self.assertEqual((25, []), (relay.feed.follower.refusals, relay.changed))
+
+    @live
+    async def test_a_fault_of_the_program_itself_is_said_and_it_goes_on(self) -> None:
+        async with machines(2) as both, following(both, faults=True) as relay:
+            while not both[0].count(APPLIED):
+                await asyncio.sleep(0.01)
+            usual, relay.feed.follower.line = relay.feed.follower.line, _broken  # type: ignore[method-assign]
+            while not relay.log.said("following the configuration failed"):
+                await asyncio.sleep(0.01)
+            relay.feed.follower.line = usual  # type: ignore[method-assign]
+            both[1].publish(entry("tenant/n", {}))
+            await relay.until(1)
+
+
+def _broken(source: int, line: Line, now: float) -> None:
+    raise ValueError("not foreseen")
+
 
 class Snapshots(unittest.TestCase):
     def filled(self, *at: Machine, rows: int = 60) -> None:
@@ -220,7 +248,8 @@
 
     @live
     async def test_a_document_over_the_bounds_is_not_fetched_again_and_again(self) -> None:
-        for bounds in ({"most_entries": 5}, {"most_bytes": 1024}):
+        cases: list[dict[str, Any]] = [{"most_entries": 5}, {"most_bytes": 1024}]
+        for bounds in cases:
             async with machines(2) as both:
                 self.filled(*both)
                 async with following(both, FILE, **bounds) as relay:
