--- a/lanelead/node/configuration.py
+++ b/lanelead/node/configuration.py
@@ -64,7 +64,9 @@
                 self._carry()
                 wait = max(0.01, self.follower.due - self._loop.time())
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(self._woken.wait(), min(wait, 60.0))
+                    # Not wait_for, which loses a cancellation that comes as the event does (Python 3.11).
+                    async with asyncio.timeout(min(wait, 60.0)):
+                        await self._woken.wait()
                 self.follower.tick(self._loop.time())
         finally:
             for task in list(self._tasks):
@@ -119,7 +121,6 @@
 
     async def _watch(self, source: int, since: int, digest: str) -> None:
         path = b"/configuration/watch?from=%d&digest=%s" % (since, digest.encode())
-        mine = asyncio.current_task()
         reason = "the watch ended"
         try:
             async for text in stream(self._loop, self._sources[source], path, 2 * SILENCE):
@@ -127,8 +128,7 @@
                 self._woken.set()
         except (Failed, Malformed, TimeoutError) as fault:
             reason = str(fault)
-        if mine is not None and self._tasks.get(mine) == source:  # not one that was left meanwhile
-            self.follower.ended(source, reason, self._loop.time())
+        self.follower.ended(source, reason, self._loop.time())
 
     async def _outline(self, source: int) -> None:
         try:
