--- a/tests/test_configuration_feed.py
+++ b/tests/test_configuration_feed.py
@@ -200,12 +200,16 @@
         async def another(machine: Machine, writer: Writer) -> None:
             await machine.answer(writer, 200, encode(Buckets(7, {1: []})))
 
+        async def refuses(machine: Machine, writer: Writer) -> None:
+            await machine.answer(writer, 503, encode(machine.source.outline(0.0)))
+
         cases: list[tuple[str, Answer]] = [
             (OUTLINE, lies),
             (OUTLINE, answers(503, b"{}")),
             (OUTLINE, answers(200, b"[]")),
             (OUTLINE, answers(200, b'{"history":"ident-0001"}')),
             (OUTLINE, endless),
+            (OUTLINE, refuses),
             (BUCKETS, empties),
             (BUCKETS, another),
             (BUCKETS, answers(404, b"")),
@@ -227,7 +231,9 @@
                     self.assertLessEqual(ill.count(path), 3, number)
 
         for start in range(0, len(cases), 4):
-            await asyncio.gather(*(one(number, *cases[number]) for number in range(start, start + 4)))
+            await asyncio.gather(
+                *(one(number, *cases[number]) for number in range(start, min(start + 4, len(cases))))
+            )
 
     @live
     async def test_buckets_too_large_for_one_answer_are_asked_for_in_smaller_parts(self) -> None:
