--- a/tests/test_configuration_feed.py
+++ b/tests/test_configuration_feed.py
@@ -335,7 +335,11 @@
                     await asyncio.sleep(0)
                 task.cancel()
                 await asyncio.wait([task], timeout=2.0)
-                self.assertTrue(task.done(), turns)
+                ended = task.done()
+                while not task.done():  # or a failure here would hang
+                    task.cancel()
+                    await asyncio.sleep(0.05)
+                self.assertTrue(ended, turns)
 
     @live
     async def test_words_that_nobody_answers_do_not_pile_up(self) -> None:
