--- a/lanelead/decisions/guards.py
+++ b/lanelead/decisions/guards.py
@@ -116,10 +116,11 @@
         return group[lane.scope] and now < ran[0].sent + lane.memory - self._duties.tick
 
     def _cold_room(self, server: Server, now: Ticks) -> bool:
-        """One more to a cold unit? All keep to a multiple of their usual part, parts of a trip by a lot that
-        turns: guards against small relays that draw none for good, and stand idle where all are cold."""
+        """One more to a cold unit? Each keeps to its part, rounded by lots that turn, or small ones idle."""
         warm, duties, traffic = warmth(server, self._duties, now), self._duties, self._traffic
+        sent = server.sent(now, duties.fall_time)
+        if warm >= 1 or duties.fall_time <= 0:
+            return True
         usual = max(traffic.done.read(now) / 4, (self._figures.quota or traffic.taken.read(now) / 8) / 2)
         budget = duties.fall_multiple / 2 * warm * usual * duties.fall_time / SECOND / len(self._roster.ready)
-        lot, sent = turned(server.lot, now / max(1, duties.fall_time)), server.sent(now, duties.fall_time)
-        return warm >= 1 or duties.fall_time <= 0 or sent + 1 <= budget + lot
+        return sent + 1 <= budget + turned(server.lot, now / duties.fall_time)
