A crowd that never asks costs half: who did not ask is known without looking at all connections

Relays' state: 3,900 evictions in 5 s, 26% of a core, way to the first attempt 0.7 to 0.9 s in the 99th; lag 45 to 95 ms; no descriptor was short. At fault: node/front.py _make_room looked at all 500 connections for each that came: 48 of some 98 us (probe over loopback). Change: those that never asked are kept in order.

--- a/lanelead/node/client.py
+++ b/lanelead/node/client.py
@@ -44,6 +44,7 @@
     open: dict[str, None]  # ids of lookups without an answer yet
     after: Callable[[], None]
     clients: dict[Client, None]
+    unasked: dict[Client, None]
     unreadable: int
     condemned: int
     refused: int
@@ -156,7 +157,7 @@
 
     def _asked(self, text: bytes) -> None:
         if not text.strip():
-            self.asked = True
+            self._has_asked()
             self._say(messages.EMPTY)
             return
         front = self.front
@@ -171,7 +172,7 @@
             front.unreadable += 1
             self._say(messages.error("42601", str(fault)) + messages.READY)
             return
-        self.asked = True
+        self._has_asked()
         if self.closing and self.slots:  # the relay stops, and this came behind what was taken in time
             front.refused += 1
             self._say(front.refusal(Outcome.SHED, 0))
@@ -192,6 +193,10 @@
         member = front.members.get(statement.member) if statement.member else None
         front.driver.take(ticket, lane, member, statement.key, left, statement.again, statement.write)
 
+    def _has_asked(self) -> None:
+        self.asked = True
+        self.front.unasked.pop(self, None)
+
     def condemn(self, code: str, text: str) -> None:
         """An error that ends the connection, behind what is owed already; nothing more is taken."""
         if self.judged is not None:
@@ -357,3 +362,4 @@
         self.front.loop.remove_writer(self.sock)
         self.sock.close()
         self.front.clients.pop(self, None)
+        self.front.unasked.pop(self, None)
--- a/lanelead/node/front.py
+++ b/lanelead/node/front.py
@@ -48,6 +48,7 @@
         self.loop, self.driver, self.members = loop, driver, members
         self._most, self.longest, self.early, self._log = most, longest, early, log
         self.clients: dict[Client, None] = {}
+        self.unasked: dict[Client, None] = {}  # those that never asked, the oldest first
         self.open: dict[str, None] = {}  # ids of lookups without an answer yet
         self.after: Callable[[], None] = lambda: None
         self.unreadable = self.condemned = self.turned_off = self.evicted = self.refused = self.overdue = 0
@@ -103,7 +104,8 @@
                 self._turn_off(sock)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.clients[Client(self, sock)] = None
+            client = Client(self, sock)
+            self.clients[client] = self.unasked[client] = None
         return True
 
     def _rest(self) -> None:
@@ -137,9 +139,9 @@
     def _make_room(self) -> bool:
         """Ends the connection that is missed least, and on which nothing waits to be read: one that has not
         begun, else the one idle for longest. Each is asked of the kernel only when its turn comes."""
-        now, crowd = self.loop.time(), [c for c in self.clients if not c.asked and c.quiet]
+        now, crowded = self.loop.time(), 2 * len(self.unasked) >= len(self.clients)
         # One that came just now may be about to ask; but a crowd of them must not push out those who do.
-        silent = (c for c in crowd if now - c.began >= YOUNG or 2 * len(crowd) >= len(self.clients))
+        silent = (c for c in self.unasked if c.quiet and (crowded or now - c.began >= YOUNG))
         if (least := next((c for c in silent if still(c.sock)), None)) is not None:
             self.evicted += 1
             least.turn_off("nothing was asked, and others need the room")
--- a/tests/test_crossings_kills.py
+++ b/tests/test_crossings_kills.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from lanelead.pgwire import messages
-from tests.platform import Held, Unit, statement
+from tests.platform import Held, Unit, platform, statement
 from tests.test_node_processes import ROOT, Relay, relay
 from tests.town import live
 
@@ -174,3 +174,20 @@
             found = await loop.sock_recv(sock, 4096)
             self.assertIn(b"value of 1a", found)
             self.assertTrue(found.endswith(messages.READY))
+
+
+class Crowd(unittest.TestCase):
+    @live
+    async def test_who_never_asked_is_known_without_looking_at_all(self) -> None:
+        # The crowd day: each of 770 connections a second had all 500 looked at, half of what it cost.
+        async with platform(Unit("u0")) as place:
+            front = place.relay.front
+            asks, leaves = await place.client(), place.plain()
+            place.plain()
+            await place.until(lambda: len(front.clients) == 3)
+            self.assertEqual(list(front.clients), list(front.unasked))
+            await asks.ask("1a")
+            leaves.close()
+            await place.until(lambda: len(front.clients) == 2)
+            self.assertEqual([client for client in front.clients if not client.asked], list(front.unasked))
+            self.assertEqual(1, len(front.unasked))
