--- a/benchmarks/slopes/distribution.py
+++ b/benchmarks/slopes/distribution.py
@@ -23,6 +23,9 @@
 ZONES = [("a", "one"), ("b", "one"), ("c", "two"), ("d", "two")]
 CHANGES = 20  # of one run, 2 s apart
 QUIET = 60.0  # seconds without a change
+AWAY = (
+    0.98  # seconds that a real relay is away for an idle restart: `configuration.restart.idle` at one relay
+)
 LARGE = 65_000  # entries at the size planned for: 49,000 tenants and 16,000 routes
 
 
@@ -98,6 +101,14 @@
         for name, value, idle in zip(("relay.bytes", "relay.cpu_us"), busy, quiet, strict=False):
             scale = 1e6 if name.endswith("us") else 1
             point(f"change.{name}", size, max(0.0, (value - idle * 2.0 * CHANGES) / CHANGES * scale))
+        # Before: the same change by a restart of all, a tenth at a time, each wave once the last one is back.
+        began = made.now
+        for wave in range(10):
+            for relay in range(wave, size, 10):
+                made.restart(relay, AWAY)
+            made.run(AWAY + 0.02)
+        point("before.in_force_everywhere", size, made.now - began)
+        made.run(5)
         # A tenth restarts at once, then all of a zone's machines are lost, then a change is made.
         for relay in range(0, size, 10):
             made.restart(relay, 0.5)
