--- a/benchmarks/slopes/tenants.py
+++ b/benchmarks/slopes/tenants.py
@@ -154,12 +154,12 @@
         "start.cpu": f"from exec to 'listening', Python's own start in it; {process}",
         "resident": f"at 'listening'; {process}",
         "reload.cpu": f"SIGHUP to 'configuration read anew', in one piece of the loop: nothing is answered "
-        f"meanwhile; what came of tenants is not put in force today; {process}",
+        f"meanwhile; nothing has changed in it; {process}",
         "reload.resident": f"0.3 s after the reload; {process}",
         "reload.peak": f"the most ever, start and reload in it; {process}",
         "file.bytes": f"the file, {UNITS} units' list in it",
         "load.cpu": "the file read and checked again, in this process (lanelead.node.config.load)",
-        "state.memory": "traced; the decisions made from the file, no tenant has asked yet: it is all there",
+        "state.memory": "traced; the decisions made from the file, no tenant has asked yet",
         "file.memory": "traced; the file as read, which a relay keeps beside its decisions",
     }
     units = {"cpu": "s", "bytes": "B"}
