--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,9 +32,9 @@
 SLACK = 0.05  # "every time limit is 50 ms longer"
 DEADLINE_MS = 6000
 RESET_SHARE = 0.25  # of the first attempts: their connection is reset while they wait for their answer
-RESET_AGE = (1.35, 1.49)  # seconds after the request's last byte
+RESET_AGE = (1.4, 1.49)  # seconds after the request's last byte
 LATE_SHARE = 0.5  # of the connections: they come up late
-LATE_BY = (0.1, 0.24)  # seconds by which they do: under the relay's limit of 250 ms
+LATE_BY = (0.15, 0.24)  # seconds by which they do: under the relay's limit of 250 ms
 IDLE_SECONDS = 0.3  # units close connections that rest for longer; the settings' 15 s are the latest
 SETTINGS: dict[str, Any] = {
     "me": 0,
@@ -402,6 +402,8 @@
     record.note(
         f"repeats sent over {WINDOW + SLACK:.2f} s after the first send: {len(broken)}; run twice: {len(twice)}"
     )
+    over = sum(max(ages) > WINDOW + 0.2 for ages in broken.values())
+    record.note(f"of these, also over the 0.2 s that docs/days.md allows for reading times: {over}")
     for ident, ages in broken.items():
         record.note(f"broken: {ident} was sent again {max(ages):.3f} s after its first send, which had run")
     if not answers or done < len(answers) // 2:
