State: the longest delay between an attempt's decision and its first byte, partial writes

The state document could not tell whether the decision was late, the attempt waited before its first byte, or the write was cut off half-way.

--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -19,6 +19,7 @@
 from lanelead.http_relay.upstream_requests import UpstreamRequests
 from lanelead.migrations.readiness import Readiness
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.endpoint_list import TICKS_PER_MS
 from lanelead.runtime.host_operations_base import HostOperationsBase
 from lanelead.runtime.loop_clock import LoopClock
 from lanelead.settings.relay_settings import NO_PRICES, RelaySettings, position_of
@@ -245,6 +246,7 @@
             "attempts": counters.attempts,
             "outcomes": {outcome.value: count for outcome, count in counters.outcomes.items()},
             "in_flight": len(self.driver.pending),
+            "max_send_delay_ms": counters.max_send_delay / TICKS_PER_MS,
             "clients": len(self.listener.connections),
             "endpoints": len(self.driver.destinations),
             "connections_opened": self.upstream.pools.opened,
--- a/lanelead/postgres_relay/state_document.py
+++ b/lanelead/postgres_relay/state_document.py
@@ -7,10 +7,11 @@
 from lanelead.postgres_relay.client_listener import ClientListener
 from lanelead.postgres_relay.upstream_requests import UpstreamRequests
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.endpoint_list import TICKS_PER_MS
 
 
 def request_counts(driver: DecisionDriver) -> dict[str, Any]:
-    """Returns counts of requests and attempts since the start, and the requests pending now."""
+    """Returns counts of requests and attempts since the start, the longest send delay, and the requests pending now."""
     counters = driver.counters
     return {
         "received": counters.received,
@@ -22,6 +23,7 @@
         "attempts": counters.attempts,
         "attempt_outcomes": {outcome.value: count for outcome, count in counters.outcomes.items()},
         "pending": len(driver.pending),
+        "max_send_delay_ms": counters.max_send_delay / TICKS_PER_MS,
     }
 
 
@@ -48,5 +50,6 @@
         "refused_connections": upstream.refused_connections,
         "handshake_timeouts": upstream.handshake_timeouts,
         "malformed_responses": upstream.malformed_responses,
+        "partial_writes": upstream.partial_writes,
         "descriptor_shortages": upstream.descriptor_shortages,
     }
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -55,6 +55,7 @@
         self.malformed_responses = 0
         self.refused_connections = 0  # connects that failed, for any reason
         self.handshake_timeouts = 0  # connections that were not ready for a query in time
+        self.partial_writes = 0  # queries that the kernel did not accept at once
 
     # Enqueueing and attempts
 
@@ -136,6 +137,7 @@
         if size == len(text):
             connection.query_sent = True
         else:
+            self.partial_writes += 1
             connection.unsent = memoryview(text)[size:]
             connection.writing = True
             self._loop.add_writer(connection.sock, self._on_writable, connection)
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -207,6 +207,7 @@
             return None
         if self.readiness is not None and not self.readiness.accepts_traffic(destination.build):
             return None
+        self.counters.max_send_delay = max(self.counters.max_send_delay, self._clock() - attempt.sent_at)
         return destination
 
     # Endpoints
--- a/lanelead/runtime/driver_counters.py
+++ b/lanelead/runtime/driver_counters.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass, field
 
-from lanelead.decisions.interface import AttemptOutcome
+from lanelead.decisions.interface import AttemptOutcome, Ticks
 
 
 @dataclass(slots=True)
 class DriverCounters:
-    """Numbers of requests, attempts and votes since the start."""
+    """Numbers of requests, attempts and votes since the start, and the longest delay before an attempt was sent."""
 
     received: int = 0
     succeeded: int = 0
@@ -20,3 +20,4 @@
     attempts: int = 0
     withheld_votes: int = 0  # votes to promote past a stage whose migrations are not done
     outcomes: dict[AttemptOutcome, int] = field(default_factory=dict)  # number of attempts by outcome
+    max_send_delay: Ticks = 0  # from the decision to start an attempt until its first byte could be sent
