An endpoint is told the time left when its request is written, not when it was decided

Cause: both relays computed it from the decisions' time, which only events of the driver move on. The end of a connect is none, so `DecisionDriver.destination_of`, asked right before the first byte, left the time where it was. Change: `destination_of` sets the decisions' time to the clock's. Both relays call it right before they encode.

--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -120,7 +120,7 @@
             self._send_query(connection, self._statement_message(attempt, pending.message))
 
     def _statement_message(self, attempt: Attempt, statement: Statement) -> bytes:
-        """Encodes the query with the attempt's time left in milliseconds, as of the driver's last event."""
+        """Encodes the query with the attempt's time left in milliseconds, as of the last call of `destination_of`."""
         time_left = attempt.sent_at + attempt.timeout - self.driver.decisions.now
         return messages.query(statement.render(max(1, time_left // 10)))
 
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -200,14 +200,16 @@
 
         The host calls this right before it writes an attempt's first byte, since the attempt may have waited for a
         connection. The result is None if meanwhile the endpoint is draining or removed, a migration does not allow
-        requests to its build, or the request is finished.
+        requests to its build, or the request is finished. The decisions' time is set to the clock's, so that the host
+        can tell the endpoint how much time is left now.
         """
+        now = self._advance_clock()
         destination = self.destinations.get(attempt.endpoint)
         if destination is None or attempt.endpoint.status is not EndpointStatus.READY or attempt.request.finished:
             return None
         if self.readiness is not None and not self.readiness.accepts_traffic(destination.build):
             return None
-        self.counters.max_send_delay = max(self.counters.max_send_delay, self._clock() - attempt.sent_at)
+        self.counters.max_send_delay = max(self.counters.max_send_delay, now - attempt.sent_at)
         return destination
 
     # Endpoints
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -30,6 +30,22 @@
                 self.assertGreaterEqual(env.relay.state()["max_send_delay_ms"], 1000)
                 self.assertEqual(env.relay.state()["partial_writes"], 0)
 
+    @run_on_uvloop
+    async def test_query_tells_the_time_left_when_it_is_sent(self) -> None:
+        # Guards against an endpoint that is told more time than the client still waits.
+        with keyed_settings():
+            async with platform(ScriptedEndpoint("u0")) as env:
+                endpoint = env.endpoints[0]
+                endpoint.accepts.clear()
+                client = await env.client()
+                client.send("1a", "save", left=DEADLINE_MS)
+                await env.until(lambda: endpoint.connections == 1)
+                advance_clock(env.relay._clock, 1.0)
+                endpoint.accepts.set()
+                self.assertIn("D", await client.response())
+                told_ms = int(endpoint.queries[0].split(b",d=")[1].split(b" ")[0])
+                self.assertLessEqual(told_ms, DEADLINE_MS - 1000)
+
 
 class HttpRelay(unittest.TestCase):
     @run_on_uvloop
@@ -45,6 +61,21 @@
             self.assertEqual((await client.read_response())[0], 200)
             self.assertGreaterEqual(state_of(env)["max_send_delay_ms"], 1000)
 
+    @run_on_uvloop
+    async def test_request_tells_the_time_left_when_it_is_sent(self) -> None:
+        # Guards against an endpoint that is told more time than the client still waits.
+        endpoint = HttpEndpoint("u0", respond_with())
+        async with relay_environment(endpoint) as env:
+            held = HeldConnects(env.relay.upstream.pools)
+            client = await Client.to(env)
+            client.send("GET", "/x", lanelead_left="1500")
+            await held.waiting.wait()
+            advance_clock(env.relay._clock, 1.0)
+            held.release()
+            self.assertEqual((await client.read_response())[0], 200)
+            told_ms = int(endpoint.requests[0].lower().split(b"lanelead-left: ")[1].split(b"\r\n")[0])
+            self.assertLessEqual(told_ms, 500)
+
 
 if __name__ == "__main__":
     unittest.main()
