A keyed repeat whose connection comes up after the window is not sent, at both relays

Cause: `AdmissionGuards.may_attempt` compares the window with the time of the decision. The attempt may then wait, for a new connection, a busy pool or its turn in the queue, and `DecisionDriver.destination_of`, asked right before the first byte, looked at the endpoint's status and the request's end only. The same let a first attempt be written long after its hedge had run. Withheld attempts end as not sent. Why it works: both relays ask in the turn in which they write the first byte, whatever an attempt has waited for.

--- a/lanelead/decisions/admission.py
+++ b/lanelead/decisions/admission.py
@@ -1,4 +1,10 @@
-"""Checks that every attempt must pass: endpoint status, retry safety, slow start, and canary exposure."""
+"""Checks that every attempt must pass: endpoint status, retry safety, slow start, and canary exposure.
+
+An attempt is checked when it is started. It may then wait, for example for a connection, so what time or other attempts
+can change meanwhile is checked again right before it is sent.
+"""
+
+from collections.abc import Sequence
 
 from lanelead.decisions.counters import low_discrepancy_value
 from lanelead.decisions.endpoint_state import EndpointSet, EndpointState, warmup_fraction
@@ -9,6 +15,7 @@
     AttemptOutcome,
     DecisionParameters,
     DeduplicationScope,
+    Endpoint,
     EndpointStatus,
     Idempotency,
     Request,
@@ -60,9 +67,26 @@
 
     def may_attempt(self, endpoint: EndpointState, request: Request, now: Ticks) -> bool:
         """Return whether a request's idempotency, attempts so far and deadline allow another attempt at an endpoint."""
-        if request.finished or len(request.attempts) >= self._quota.max_attempts or now >= request.deadline:
+        if len(request.attempts) >= self._quota.max_attempts:
+            return False
+        return self._is_safe_beside(request.attempts, endpoint, request, now)
+
+    def may_send(self, attempt: Attempt, now: Ticks) -> bool:
+        """Return whether an attempt that was permitted when it started may be sent now.
+
+        Meanwhile the endpoint may have left, the request may have ended, and the endpoint may have forgotten the key of
+        a request of which another attempt was executed.
+        """
+        if attempt.endpoint.status is not EndpointStatus.READY:
+            return False
+        others = [other for other in attempt.request.attempts if other is not attempt]
+        return self._is_safe_beside(others, attempt.endpoint, attempt.request, now)
+
+    def _is_safe_beside(self, others: Sequence[Attempt], endpoint: Endpoint, request: Request, now: Ticks) -> bool:
+        """Return whether an attempt may reach an endpoint now, given the request's other attempts and its deadline."""
+        if request.finished or now >= request.deadline:
             return False
-        executed = [attempt for attempt in request.attempts if attempt.outcome not in NOT_EXECUTED]
+        executed = [attempt for attempt in others if attempt.outcome not in NOT_EXECUTED]
         if not executed:
             return True
         if not self._quota.hedging and any(attempt.outcome is None for attempt in executed):
@@ -72,8 +96,8 @@
             return self._is_deduplicated(executed[0], endpoint, now)
         return idempotency is Idempotency.IDEMPOTENT
 
-    def _is_deduplicated(self, first: Attempt, endpoint: EndpointState, now: Ticks) -> bool:
-        """Return whether an endpoint will still recognize a retry of an attempt by its idempotency key."""
+    def _is_deduplicated(self, first: Attempt, endpoint: Endpoint, now: Ticks) -> bool:
+        """Return whether an endpoint will still recognize another attempt by the idempotency key of the first one."""
         request_class = first.request.request_class
         scope = request_class.deduplication_scope
         if scope is DeduplicationScope.ZONE and first.endpoint.zone != endpoint.zone:
--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -349,6 +349,12 @@
     def request_received(self, request: Request) -> None:
         """Start to route a new request."""
 
+    def may_send(self, attempt: Attempt) -> bool:
+        """Return whether a started attempt may be sent now; a host must ask right before its first byte.
+
+        An attempt that may not be sent ends with the outcome `NOT_SENT`.
+        """
+
     def response_started(self, attempt: Attempt) -> None:
         """Handle the start of an attempt's response to the client."""
 
--- a/lanelead/decisions/request_routing.py
+++ b/lanelead/decisions/request_routing.py
@@ -43,6 +43,10 @@
             if attempt.outcome is None and self._quota.may_cancel and not attempt.streaming:
                 self.actions.append(CancelAttempt(attempt))
 
+    def may_send(self, attempt: Attempt) -> bool:
+        """Return whether a started attempt may be sent now; it may have waited, for example for a connection."""
+        return self._guards.may_send(attempt, self.now)
+
     def _route(self, request: Request) -> RequestRoutine:
         """Yield endpoints to try and times to wait until, as `RequestScheduler` expects, until the request ends.
 
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -27,7 +27,6 @@
     AttemptOutcome,
     Decisions,
     Endpoint,
-    EndpointStatus,
     LoadReport,
     Request,
     RequestClass,
@@ -199,13 +198,13 @@
         """Returns where to send an attempt, or None if it must not be sent any more.
 
         The host calls this right before it writes an attempt's first byte, since the attempt may have waited for a
-        connection. The result is None if meanwhile the endpoint is draining or removed, a migration does not allow
-        requests to its build, or the request is finished. The decisions' time is set to the clock's, so that the host
+        connection. The result is None if the decisions do not permit it any more, the endpoint is removed, or a
+        migration does not allow requests to its build. The decisions' time is set to the clock's, so that the host
         can tell the endpoint how much time is left now.
         """
         now = self._advance_clock()
         destination = self.destinations.get(attempt.endpoint)
-        if destination is None or attempt.endpoint.status is not EndpointStatus.READY or attempt.request.finished:
+        if destination is None or not self.decisions.may_send(attempt):
             return None
         if self.readiness is not None and not self.readiness.accepts_traffic(destination.build):
             return None
--- a/tests/send_delays.py
+++ b/tests/send_delays.py
@@ -5,16 +5,16 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 from unittest import mock
 
 from lanelead.http_relay.connection_pool import ConnectionPools, EndpointPool
 from lanelead.runtime.loop_clock import LoopClock
-from tests import postgres_platform
+from tests import http_relay_environment, postgres_platform
 
-WINDOW_MS = 2000
-DEADLINE_MS = 6000
+WINDOW_SECONDS = 2.0  # the deduplication window of the class `save`
+DEADLINE_MS = 6000  # of the class `save`, and of all classes of the HTTP relay
 CONNECT_TIMEOUT_MS = 8000.0  # longer than any test waits
 
 
@@ -23,6 +23,12 @@
     clock._started -= seconds
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Waits until the condition holds; the test's own timeout bounds it."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
 @contextlib.contextmanager
 def keyed_settings(**allowed: Any) -> Iterator[None]:
     """Adds the keyed class `save` to the settings of `platform`, and changes its section `allowed`."""
@@ -31,7 +37,7 @@
         **settings["requestClasses"][0],
         "name": "save",
         "repeat": "idempotency_key",
-        "windowMs": float(WINDOW_MS),
+        "windowMs": WINDOW_SECONDS * 1000,
         "deadlineMs": float(DEADLINE_MS),
     }
     changed = {
@@ -42,18 +48,31 @@
         yield
 
 
+@contextlib.contextmanager
+def http_keyed_settings() -> Iterator[None]:
+    """Makes the deadlines in the settings of `relay_environment` longer than the window of its keyed class `save`."""
+    settings = http_relay_environment.SETTINGS.replace("outer_limit_ms: 1500", f"outer_limit_ms: {DEADLINE_MS}")
+    settings = settings.replace("memory_ms: 2000", f"memory_ms: {int(WINDOW_SECONDS * 1000)}")
+    with mock.patch.object(http_relay_environment, "SETTINGS", settings):
+        yield
+
+
 class HeldConnects:
-    """Holds the connects of an HTTP relay's pools from now on until `release`."""
+    """Holds the connects of an HTTP relay's pools from now on until `release`, apart from the first `skipped` ones."""
 
-    def __init__(self, pools: ConnectionPools) -> None:
+    def __init__(self, pools: ConnectionPools, skipped: int = 0) -> None:
         self.waiting = asyncio.Event()  # a connect is held
         self._released = asyncio.Event()
+        self._skipped = skipped
         self._connect = pools._connect
         pools._connect = self._held_connect  # type: ignore[method-assign]
 
     async def _held_connect(self, pool: EndpointPool, end: float) -> socket.socket | None:
-        self.waiting.set()
-        await self._released.wait()
+        if self._skipped > 0:
+            self._skipped -= 1
+        else:
+            self.waiting.set()
+            await self._released.wait()
         return await self._connect(pool, end)
 
     def release(self) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -39,6 +39,50 @@
         self.assertEqual([type(action) for action in host.final_actions(request)], [FailRequest])
 
 
+class DelayedSends(unittest.TestCase):
+    """Attempts that are started in time, and asked about again right before they are sent."""
+
+    def test_a_keyed_retry_may_be_sent_only_within_the_window_of_the_attempt_that_may_have_been_executed(self) -> None:
+        host = FakeHost(endpoints=1)
+        request = host.send_request(KEYED_CLASS)
+        first = host.attempts(request)[0]
+        host.balancer.now += SECOND
+        host.end_attempt(first, AttemptOutcome.RESET)
+        retry = host.attempts(request)[1]
+        window_end = first.sent_at + KEYED_CLASS.deduplication_window
+        for now, may_send in ((window_end - 51, True), (window_end - 50, False), (window_end + SECOND, False)):
+            host.balancer.now = now  # a tick of 50 before the window's end is kept in reserve
+            self.assertEqual(host.balancer.may_send(retry), may_send, now)
+
+    def test_a_keyed_retry_may_be_sent_at_any_time_if_no_other_attempt_was_executed(self) -> None:
+        for outcome in (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT):
+            host = FakeHost()
+            request = host.send_request(KEYED_CLASS)
+            host.end_attempt(host.attempts(request)[0], outcome)
+            host.balancer.now += 3 * SECOND
+            self.assertTrue(host.balancer.may_send(host.attempts(request)[1]), outcome)
+
+    def test_of_two_attempts_that_both_waited_past_the_window_one_may_be_sent(self) -> None:
+        host = FakeHost()
+        request = host.send_request(KEYED_CLASS)
+        host.advance(SECOND)
+        first, hedge = host.attempts(request)
+        host.balancer.now += 2 * SECOND
+        self.assertFalse(host.balancer.may_send(first))
+        host.end_attempt(first, AttemptOutcome.NOT_SENT)
+        self.assertTrue(host.balancer.may_send(hedge))
+
+    def test_an_attempt_that_waited_until_the_deadline_or_until_its_endpoint_left_may_not_be_sent(self) -> None:
+        host = FakeHost(endpoints=1)
+        attempt = host.attempts(host.send_request())[0]
+        self.assertTrue(host.balancer.may_send(attempt))
+        host.balancer.now = attempt.request.deadline
+        self.assertFalse(host.balancer.may_send(attempt))
+        host.balancer.now = attempt.sent_at
+        host.list_endpoint(1, status=EndpointStatus.DRAINING, endpoint=host.endpoints[0])
+        self.assertFalse(host.balancer.may_send(attempt))
+
+
 class Draining(unittest.TestCase):
     def test_no_attempt_goes_to_a_draining_endpoint(self) -> None:
         host = FakeHost(endpoints=2)
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -5,13 +5,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from unittest import mock
 
-from tests.http_relay_environment import Client, relay_environment, respond_with, run_on_uvloop, state_of
+from lanelead.http import serialization
+from tests.http_relay_environment import (
+    Client,
+    relay_environment,
+    reset_connections,
+    respond_with,
+    run_on_uvloop,
+    state_of,
+)
 from tests.http_relay_environment import ScriptedEndpoint as HttpEndpoint
 from tests.postgres_platform import platform
-from tests.scripted_endpoints import ScriptedEndpoint
-from tests.send_delays import DEADLINE_MS, HeldConnects, advance_clock, keyed_settings
+from tests.scripted_endpoints import ScriptedEndpoint, echo_id
+from tests.send_delays import (
+    DEADLINE_MS,
+    WINDOW_SECONDS,
+    HeldConnects,
+    advance_clock,
+    http_keyed_settings,
+    keyed_settings,
+    until,
+)
 
 
 class PostgresRelay(unittest.TestCase):
@@ -46,6 +64,85 @@
                 told_ms = int(endpoint.queries[0].split(b",d=")[1].split(b" ")[0])
                 self.assertLessEqual(told_ms, DEADLINE_MS - 1000)
 
+    async def _with_held_retry(self, waited_seconds: float) -> tuple[dict[str, bytes], int]:
+        """Resets a keyed request's first attempt and holds the retry's connection while time passes.
+
+        Returns the client's response and the number of queries that the endpoint read.
+        """
+
+        async def reset_first(endpoint: ScriptedEndpoint, text: bytes) -> bytes | None:
+            if len(endpoint.queries) > 1:
+                return await echo_id(endpoint, text)
+            endpoint.accepts.clear()
+            return None
+
+        with keyed_settings():
+            async with platform(ScriptedEndpoint("u0", reset_first)) as env:
+                client = await env.client()
+                client.send("1a", "save", left=DEADLINE_MS)
+                await env.until(lambda: env.endpoints[0].connections == 2)
+                advance_clock(env.relay._clock, waited_seconds)
+                env.endpoints[0].accepts.set()
+                return await client.response(), len(env.endpoints[0].queries)
+
+    @run_on_uvloop
+    async def test_keyed_retry_whose_connection_comes_up_after_the_window_is_not_sent(self) -> None:
+        # Guards against a second effect: the endpoint has forgotten the key by then.
+        response, queries = await self._with_held_retry(WINDOW_SECONDS)
+        self.assertEqual((response["C"], queries), (b"58000", 1))
+
+    @run_on_uvloop
+    async def test_keyed_retry_whose_connection_comes_up_within_the_window_is_sent(self) -> None:
+        response, queries = await self._with_held_retry(WINDOW_SECONDS / 2)
+        self.assertTrue(response["D"].endswith(b"value of 1a"))
+        self.assertEqual(queries, 2)
+
+    @run_on_uvloop
+    async def test_keyed_retry_that_was_queued_until_after_the_window_is_not_sent(self) -> None:
+        # Guards against a second effect after a stall between the decision and the start of queued attempts.
+        release = asyncio.Event()
+
+        async def reset(endpoint: ScriptedEndpoint, text: bytes) -> None:
+            await release.wait()
+
+        with keyed_settings():
+            async with platform(ScriptedEndpoint("u0", reset)) as env:
+                upstream, client = env.relay.upstream, await env.client()
+                client.send("1a", "save", left=DEADLINE_MS)
+                await env.until(lambda: len(env.endpoints[0].queries) == 1)
+                with mock.patch.object(upstream, "start_waiting", mock.Mock()):
+                    release.set()
+                    await env.until(lambda: len(upstream._waiting_attempts) == 1)
+                    advance_clock(env.relay._clock, WINDOW_SECONDS)
+                env.relay.after_event()
+                self.assertEqual((await client.response())["C"], b"58000")
+                self.assertEqual(len(env.endpoints[0].queries), 1)
+
+    @run_on_uvloop
+    async def test_first_attempt_that_its_hedge_overtook_is_not_sent_after_the_window(self) -> None:
+        # Guards against a second effect: the first attempt is written long after the hedge has run.
+        async def no_response(endpoint: ScriptedEndpoint, text: bytes) -> bytes:
+            await asyncio.sleep(20)
+            return b""
+
+        with keyed_settings(secondCopies=True):
+            async with platform(ScriptedEndpoint("u0", no_response), ScriptedEndpoint("u1", no_response)) as env:
+                for endpoint in env.endpoints:
+                    endpoint.accepts.clear()
+                client = await env.client()
+                client.send("1a", "save", left=DEADLINE_MS)
+                await env.until(lambda: sum(endpoint.connections for endpoint in env.endpoints) == 1)
+                first, second = sorted(env.endpoints, key=lambda endpoint: -endpoint.connections)
+                second.accepts.set()
+                advance_clock(env.relay._clock, 0.5)  # over half of the latency objective, after which it is hedged
+                env.relay._on_timer()
+                await env.until(lambda: len(second.queries) == 1)
+                advance_clock(env.relay._clock, WINDOW_SECONDS)
+                first.accepts.set()
+                await env.until(lambda: all(connection.connected for connection in env.relay.upstream.connections))
+                await asyncio.sleep(0.05)  # what was written would arrive
+                self.assertEqual((len(first.queries), len(second.queries)), (0, 1))
+
 
 class HttpRelay(unittest.TestCase):
     @run_on_uvloop
@@ -76,6 +173,74 @@
             told_ms = int(endpoint.requests[0].lower().split(b"lanelead-left: ")[1].split(b"\r\n")[0])
             self.assertLessEqual(told_ms, 500)
 
+    async def _with_held_retry(self, waited_seconds: float) -> tuple[int, int]:
+        """Resets a keyed request's first attempt and holds the retry's connection while time passes.
+
+        Returns the status of the client's response and the number of requests that the endpoint read.
+        """
+
+        async def reset_first(
+            endpoint: HttpEndpoint, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if not endpoint.requests:
+                await reset_connections(endpoint, reader, writer)
+            else:
+                await respond_with()(endpoint, reader, writer)
+
+        endpoint = HttpEndpoint("u0", reset_first)
+        with http_keyed_settings():
+            async with relay_environment(endpoint) as env:
+                client = await Client.to(env)
+                client.send("PUT", "/x", b"b", idempotency_key="r1")
+                held = HeldConnects(env.relay.upstream.pools, skipped=1)
+                await held.waiting.wait()
+                advance_clock(env.relay._clock, waited_seconds)
+                held.release()
+                return (await client.read_response())[0], len(endpoint.requests)
+
+    @run_on_uvloop
+    async def test_keyed_retry_whose_connection_comes_up_after_the_window_is_not_sent(self) -> None:
+        # Guards against a second effect: the endpoint has forgotten the key by then.
+        self.assertEqual(await self._with_held_retry(WINDOW_SECONDS), (502, 1))
+
+    @run_on_uvloop
+    async def test_keyed_retry_whose_connection_comes_up_within_the_window_is_sent(self) -> None:
+        self.assertEqual(await self._with_held_retry(WINDOW_SECONDS / 2), (200, 2))
+
+    @run_on_uvloop
+    async def test_keyed_retry_that_waited_for_a_busy_connection_until_after_the_window_is_not_sent(self) -> None:
+        # Guards against a second effect: the only connection that the pool allows is busy until the window is over.
+        other_waits, release = asyncio.Event(), asyncio.Event()
+
+        async def serve(endpoint: HttpEndpoint, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                request = await endpoint.request(reader)
+                if request.startswith(b"PUT"):
+                    await other_waits.wait()
+                elif request.startswith(b"GET /held"):
+                    await release.wait()
+                writer.write(serialization.response(500 if request.startswith(b"PUT") else 200, (), b""))
+
+        endpoint = HttpEndpoint("u0", serve)
+        limits = "unit_connections: 1, connect_limit_ms: 8000"
+        with http_keyed_settings():
+            async with relay_environment(endpoint, allowance=limits) as env:
+                client, other = await Client.to(env), await Client.to(env)
+                for _ in range(20):  # after these the relay sends the endpoint several requests at once
+                    self.assertEqual((await client.ask("GET", "/x"))[0], 200)
+                client.send("PUT", "/x", b"b", idempotency_key="r1")
+                await until(lambda: len(endpoint.requests) == 21)
+                other.send("GET", "/held")
+                (pool,) = env.relay.upstream.pools._pools.values()
+                await until(lambda: pool.freed is not None)
+                other_waits.set()
+                await until(lambda: len(endpoint.requests) == 22 and len(env.relay.upstream._in_flight) == 2)
+                self.assertTrue(endpoint.requests[-1].startswith(b"GET"))
+                advance_clock(env.relay._clock, WINDOW_SECONDS)
+                release.set()
+                self.assertEqual((await client.read_response())[0], 502)
+                self.assertEqual(len(endpoint.requests), 22)
+
 
 if __name__ == "__main__":
     unittest.main()
