A keyed repeat that is written half-way when the window ends is not completed (platform)

Cause: `UpstreamRequests._on_writable` sent the rest of a query without asking again. Change: it asks `DecisionDriver.destination_of` before each further write. A query that may not be sent any more is cut off with its connection; it has not run, since its last byte was not written, and ends as not sent. Why it works: the endpoint runs a query only once its last byte has come, and no byte leaves without the question. The tests' slow reader and list change now stand once.

--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -41,7 +41,7 @@
     CONNECT_FAILED = "connect failed"
     RESET = "reset"  # the connection closed before the response was complete
     CANCELLED = "cancelled"  # by this relay
-    NOT_SENT = "not sent"  # this relay sent no byte of it
+    NOT_SENT = "not sent"  # this relay did not send it, or not all of it
 
 
 class EndpointStatus(Enum):
@@ -350,7 +350,7 @@
         """Start to route a new request."""
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Return whether a started attempt may be sent now; a host must ask right before its first byte.
+        """Return whether a started attempt may be sent now; a host must ask right before each write of it.
 
         An attempt that may not be sent ends with the outcome `NOT_SENT`.
         """
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -147,6 +147,11 @@
         if not connection.writing:
             self._on_connect_ended(connection)
             return
+        attempt = connection.attempt
+        if attempt is not None and self.driver.destination_of(attempt) != connection.pool.destination:
+            self._withdraw_query(connection, attempt)
+            self.after_event()
+            return
         try:
             connection.unsent = connection.unsent[connection.sock.send(connection.unsent) :]
         except (BlockingIOError, InterruptedError):
@@ -160,6 +165,12 @@
             connection.writing = False
             self._loop.remove_writer(connection.sock)
 
+    def _withdraw_query(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+        """Ends an attempt that may not be sent any more and was not written completely, so that it cannot run."""
+        connection.attempt = None
+        self._close_connection(connection)
+        self._attempt_ended(attempt, AttemptOutcome.NOT_SENT, None)
+
     def _attempt_ended(self, attempt: Attempt, outcome: AttemptOutcome, result: QueryResult | None) -> None:
         if self._in_flight.pop(attempt, None) is not None:
             report = parse_load_report(result.report, self._report_names) if result else None
--- a/tests/postgres_platform.py
+++ b/tests/postgres_platform.py
@@ -19,6 +19,8 @@
 from lanelead.pgwire import messages
 from lanelead.postgres_relay.config import load
 from lanelead.postgres_relay.service import Service
+from lanelead.protocols.feeds import decode
+from lanelead.protocols.platform import EndpointList, read_endpoint_list
 from lanelead.testbed.scenarios.processes import free_ports
 from tests.scripted_endpoints import ScriptedEndpoint
 
@@ -309,6 +311,13 @@
             server.close()
 
 
+def change_listed_endpoint(env: Platform, **fields: Any) -> None:
+    """Hands the relay an endpoint list at once, in which the first endpoint has the given fields."""
+    listing = json.loads(env.list_of(env.endpoints[:1], full=False))
+    listing["servers"][0] |= fields
+    env.relay._on_endpoint_list(read_endpoint_list(decode(json.dumps(listing).encode(), EndpointList)))
+
+
 def stage_notification(stage: dict[str, Any]) -> bytes:
     """Encodes the rollout platform's notification of a build's stage."""
     return json.dumps({"jsonrpc": "2.0", "method": "stage", "params": stage}).encode() + b"\n"
--- a/tests/send_delays.py
+++ b/tests/send_delays.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 from unittest import mock
 
@@ -23,6 +23,43 @@
     clock._started -= seconds
 
 
+class SmallSendBufferSocket(socket.socket):
+    """A socket whose send buffer holds only part of a large request."""
+
+    def __init__(self, *args: Any, **fields: Any) -> None:
+        super().__init__(*args, **fields)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
+class SlowReader:
+    """A server that reads connections by `script` and buffers only little that is not read yet.
+
+    `script` is called with the number of the connection, from 1, its reader and its writer.
+    """
+
+    def __init__(self, script: Callable[[int, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]) -> None:
+        self._script = script
+        self._connections = 0
+        self.resume = asyncio.Event()  # for scripts that stop reading until the test lets them go on
+
+    async def open(self) -> int:
+        """Starts to listen; returns the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1024)
+        sock = self._server.sockets[0]
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        return int(sock.getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await self._script(self._connections, reader, writer)
+        writer.close()
+
+    def close(self) -> None:
+        """Stops listening."""
+        self._server.close()
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Waits until the condition holds; the test's own timeout bounds it."""
     while not condition():
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from lanelead.http import serialization
+from lanelead.pgwire import messages
 from tests.http_relay_environment import (
     Client,
     relay_environment,
@@ -19,18 +20,27 @@
     state_of,
 )
 from tests.http_relay_environment import ScriptedEndpoint as HttpEndpoint
-from tests.postgres_platform import platform
+from tests.postgres_platform import Platform, change_listed_endpoint, platform, statement
 from tests.scripted_endpoints import ScriptedEndpoint, echo_id
 from tests.send_delays import (
     DEADLINE_MS,
     WINDOW_SECONDS,
     HeldConnects,
+    SlowReader,
+    SmallSendBufferSocket,
     advance_clock,
     http_keyed_settings,
     keyed_settings,
     until,
 )
 
+BODY_BYTES = 120_000  # more than the buffers between a relay and a `SlowReader` take
+
+
+def is_writing(env: Platform) -> bool:
+    """Returns whether part of a query waits to be written."""
+    return any(connection.writing and connection.connected for connection in env.relay.upstream.connections)
+
 
 class PostgresRelay(unittest.TestCase):
     @run_on_uvloop
@@ -143,6 +153,45 @@
                 await asyncio.sleep(0.05)  # what was written would arrive
                 self.assertEqual((len(first.queries), len(second.queries)), (0, 1))
 
+    @run_on_uvloop
+    async def test_keyed_retry_that_was_written_half_way_when_the_window_ended_is_not_completed(self) -> None:
+        # Guards against a second effect: the endpoint reads the rest of the query when it has forgotten the key.
+        received = bytearray()
+
+        async def reset_first(number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big") - 4)
+            writer.write(messages.STARTUP_RESPONSE)
+            head = await reader.readexactly(5)
+            if number == 1:
+                await reader.readexactly(int.from_bytes(head[1:], "big") - 4)
+                writer.transport.abort()
+            else:
+                await server.resume.wait()
+                while piece := await reader.read(1024):
+                    received.extend(piece)
+
+        server = SlowReader(reset_first)
+        endpoint = ScriptedEndpoint("u0")
+        insert = f"INSERT INTO items (id, doc) VALUES ('ab12', '\\x{'00' * (BODY_BYTES // 2)}') RETURNING doc"
+        comment = statement("1a", "save", DEADLINE_MS, ",k=key-1").decode().partition("/*")[2]
+        query = messages.query(f"{insert} /*{comment}".encode())
+        with keyed_settings():
+            async with platform(endpoint) as env:
+                endpoint.server.close()
+                change_listed_endpoint(env, addr=f"127.0.0.1:{await server.open()}")
+                client = await env.client()
+                with mock.patch("lanelead.postgres_relay.connection_pool.socket.socket", SmallSendBufferSocket):
+                    client.writer.write(query)
+                    await env.until(lambda: env.relay.upstream.opened == 2 and is_writing(env))
+                    self.assertGreaterEqual(env.relay.state()["partial_writes"], 1)
+                    advance_clock(env.relay._clock, WINDOW_SECONDS)
+                    server.resume.set()
+                    response = await client.response()
+                    await env.until(lambda: not env.relay.upstream.connections)
+        self.assertLess(len(received), BODY_BYTES)
+        self.assertEqual(response["C"], b"58000")
+        server.close()
+
 
 class HttpRelay(unittest.TestCase):
     @run_on_uvloop
--- a/tests/test_upstream_races.py
+++ b/tests/test_upstream_races.py
@@ -7,21 +7,19 @@
 
 import asyncio
 import contextlib
-import json
 import socket
 import unittest
-from typing import Any, cast
+from typing import cast
 from unittest import mock
 
 from lanelead.decisions.interface import AttemptOutcome, Endpoint
 from lanelead.pgwire.messages import READY, error, query
 from lanelead.postgres_relay.connection_pool import UpstreamConnection
-from lanelead.protocols.feeds import decode
-from lanelead.protocols.platform import EndpointList, read_endpoint_list
 from tests.http_relay_environment import run_on_uvloop
 from tests.manual_loop import ManualLoop
-from tests.postgres_platform import Platform, PostgresClient, platform, statement
+from tests.postgres_platform import Platform, PostgresClient, change_listed_endpoint, platform, statement
 from tests.scripted_endpoints import HeldEndpoint, ScriptedEndpoint, echo_id, row
+from tests.send_delays import SmallSendBufferSocket
 
 
 def manual_loop(env: Platform) -> ManualLoop:
@@ -41,13 +39,6 @@
     return env.relay.upstream._pools[registered_endpoint(env, name)].idle
 
 
-def change_listed_endpoint(env: Platform, **fields: Any) -> None:
-    """Hands the relay an endpoint list at once, in which the first endpoint has the given fields."""
-    listing = json.loads(env.list_of(env.endpoints[:1], full=False))
-    listing["servers"][0] |= fields
-    env.relay._on_endpoint_list(read_endpoint_list(decode(json.dumps(listing).encode(), EndpointList)))
-
-
 class HealthChecks(unittest.TestCase):
     @run_on_uvloop
     async def test_timer_of_an_earlier_health_check_does_not_end_a_later_one(self) -> None:
@@ -152,11 +143,6 @@
 
     @run_on_uvloop
     async def test_response_before_the_query_was_sent_completely_is_malformed(self) -> None:
-        class SmallSendBufferSocket(socket.socket):
-            def __init__(self, *args: Any, **fields: Any) -> None:
-                super().__init__(*args, **fields)
-                self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-
         async def respond_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
                 await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big") - 4)
