A keyed repeat that is written half-way when the window ends is not completed (HTTP)

Cause: `UpstreamRequests._write` handed the whole request to `sock_sendall`, which asks nobody between its writes. Change: the relay writes itself and asks `DecisionDriver.destination_of` before each further piece. An attempt that may not be sent any more is cancelled with its connection; as some bytes were sent it counts as one that may have run. `partial_writes` in the state document, as at the relay on the platform. Why it works: the last byte can't leave without the question, which is asked in the turn of the event loop that writes.

--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -36,7 +36,18 @@
 class UpstreamConnection:
     """A connection to an endpoint. It carries one request at a time; its own task reads everything received on it."""
 
-    __slots__ = ("attempt", "buffer", "closed", "health_check", "idle_since", "pool", "reader", "sock", "writing")
+    __slots__ = (
+        "attempt",
+        "buffer",
+        "closed",
+        "health_check",
+        "idle_since",
+        "pool",
+        "reader",
+        "sock",
+        "writable",
+        "writing",
+    )
 
     def __init__(self, sock: socket.socket, pool: EndpointPool, buffer: bytearray, response_bytes: int) -> None:
         self.sock = sock
@@ -46,9 +57,22 @@
         self.attempt: Attempt | None = None  # the attempt that waits for a response
         self.health_check: asyncio.Future[HttpResponse | None] | None = None  # the health check that waits for one
         self.writing = False
+        self.writable: asyncio.Future[None] | None = None  # of the task that waits to write more
         self.closed = False
         self.idle_since = 0.0
 
+    def send_some(self, data: memoryview) -> int:
+        """Sends what the kernel accepts at once; returns the number of bytes. Raises OSError if the send fails."""
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+
+    def stop_waiting(self) -> None:
+        """Wakes the task that waits to write more, if there is one."""
+        if self.writable is not None and not self.writable.done():
+            self.writable.set_result(None)
+
 
 class EndpointPool:
     """The connections to one endpoint's current address."""
@@ -192,11 +216,24 @@
             pool.idle.remove(connection)
         else:
             pool.in_use -= 1
+        self._loop.remove_writer(connection.sock)
         connection.sock.close()
+        connection.stop_waiting()
         if len(self._spare_buffers) < MAX_SPARE_BUFFERS:
             self._spare_buffers.append(connection.buffer)
         pool.notify_freed()
 
+    async def until_writable(self, connection: UpstreamConnection) -> None:
+        """Waits until the kernel accepts more bytes, or the connection is closed: the next write then fails."""
+        connection.writable = self._loop.create_future()
+        self._loop.add_writer(connection.sock, connection.stop_waiting)
+        try:
+            await connection.writable
+        finally:
+            connection.writable = None
+            if connection.sock.fileno() >= 0:
+                self._loop.remove_writer(connection.sock)
+
     def connection_failed(self, connection: UpstreamConnection) -> None:
         """Ends the attempt or health check in flight on a failed connection; it may have run."""
         if connection.attempt is not None or connection.health_check is not None:
--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -251,6 +251,7 @@
             "endpoints": len(self.driver.destinations),
             "connections_opened": self.upstream.pools.opened,
             "connections_reused": self.upstream.pools.reused,
+            "partial_writes": self.upstream.partial_writes,
             "dropped_datagrams": {} if self._gossip is None else dict(self._gossip.dropped),
             "feeds": dict(self._feeds.up),
             "malformed_requests": self.listener.malformed_requests,
--- a/lanelead/http_relay/upstream_requests.py
+++ b/lanelead/http_relay/upstream_requests.py
@@ -69,6 +69,7 @@
         self.queued_attempts: list[Attempt] = []  # attempts to be sent by `start`
         self._in_flight: dict[Attempt, InFlightAttempt] = {}
         self._health_checks: dict[Endpoint, asyncio.Task[None]] = {}
+        self.partial_writes = 0  # requests that the kernel did not accept at once
 
     # Attempts
 
@@ -136,12 +137,30 @@
         connection.writing = True
         in_flight.written = True  # from here on it may have run
         try:
-            await self._loop.sock_sendall(connection.sock, text)
+            await self._send(connection, attempt, text)
         except OSError:
             self.pools.connection_failed(connection)
         finally:
             connection.writing = False
 
+    async def _send(self, connection: UpstreamConnection, attempt: Attempt, text: bytes) -> None:
+        """Sends a whole request, in several writes if the kernel does not accept it at once.
+
+        Cancels the attempt if it may not be sent any more before a further write. Raises OSError if the connection
+        fails or is closed meanwhile.
+        """
+        assert self.driver is not None
+        unsent = memoryview(text)[connection.send_some(memoryview(text)) :]
+        self.partial_writes += len(unsent) > 0
+        while unsent:
+            await self.pools.until_writable(connection)
+            if connection.attempt is attempt and self.driver.destination_of(attempt) != connection.pool.destination:
+                self.cancel_attempt(attempt)
+                self.driver.attempt_ended(attempt, AttemptOutcome.CANCELLED)
+                self.after_event()
+                return
+            unsent = unsent[connection.send_some(unsent) :]
+
     def _encode_request(self, attempt: Attempt, pending: PendingRequest) -> bytes:
         request = pending.message
         left = attempt.sent_at + attempt.timeout - self._now()
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -290,6 +290,46 @@
                 self.assertEqual((await client.read_response())[0], 502)
                 self.assertEqual(len(endpoint.requests), 22)
 
+    @run_on_uvloop
+    async def test_keyed_retry_that_was_written_half_way_when_the_window_ended_is_not_completed(self) -> None:
+        # Guards against a second effect: the endpoint reads the rest of the request when it has forgotten the key.
+        received = bytearray()
+
+        async def reset_first(number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            if number == 1:
+                await reader.readexactly(BODY_BYTES)
+                writer.transport.abort()
+            else:
+                await server.resume.wait()
+                while piece := await reader.read(1024):
+                    received.extend(piece)
+
+        server = SlowReader(reset_first)
+        endpoint = HttpEndpoint("u0", respond_with())
+        with http_keyed_settings():
+            async with relay_environment(endpoint) as env:
+                endpoint.close()
+                endpoint.port = await server.open()
+                env.list_(endpoint, "ready")
+                await until(lambda: {at.port for at in env.relay.driver.destinations.values()} == {endpoint.port})
+                pools, client = env.relay.upstream.pools, await Client.to(env)
+                with mock.patch("lanelead.http_relay.connection_pool.socket.socket", SmallSendBufferSocket):
+                    client.send("PUT", "/x", b"b" * BODY_BYTES, idempotency_key="r1")
+                    await until(lambda: pools.opened == 2)
+                    await until(
+                        lambda: any(at.connection and at.written for at in env.relay.upstream._in_flight.values())
+                    )
+                    await asyncio.sleep(0.1)  # the relay writes what the buffers take
+                    self.assertGreaterEqual(state_of(env)["partial_writes"], 1)
+                    advance_clock(env.relay._clock, WINDOW_SECONDS)
+                    server.resume.set()
+                    status, _, _ = await client.read_response()
+                    await until(lambda: not pools._reader_tasks)
+        self.assertLess(len(received), BODY_BYTES)
+        self.assertEqual(status, 502)
+        server.close()
+
 
 if __name__ == "__main__":
     unittest.main()
