An attempt that waited is withheld once its build is excluded: rolled back, or behind its key's build

What callers would see: a request with a sticky key, waiting for a connection to the earlier build, reached that build after another request of its key had been answered by the newest; and a canary got an attempt after its rollback. Change: the part of `ExposureBudget.allows` that does not count attempts stands apart as `is_excluded`, and `AdmissionGuards.may_send` asks it. The budget itself is not asked again: the attempt was charged when it started.

--- a/lanelead/decisions/admission.py
+++ b/lanelead/decisions/admission.py
@@ -74,13 +74,16 @@
     def may_send(self, attempt: Attempt, now: Ticks) -> bool:
         """Return whether an attempt that was permitted when it started may be sent now.
 
-        Meanwhile the endpoint may have left, the request may have ended, and the endpoint may have forgotten the key of
-        a request of which another attempt was executed.
+        Meanwhile the endpoint may have left, its build may have been rolled back, the request may have ended, its key
+        may have been bound to a later build, and the endpoint may have forgotten the key of a request of which another
+        attempt was executed.
         """
-        if attempt.endpoint.status is not EndpointStatus.READY:
+        endpoint = attempt.endpoint
+        request = attempt.request
+        if endpoint.status is not EndpointStatus.READY or self.exposure.is_excluded(endpoint.build, request):
             return False
-        others = [other for other in attempt.request.attempts if other is not attempt]
-        return self._is_safe_beside(others, attempt.endpoint, attempt.request, now)
+        others = [other for other in request.attempts if other is not attempt]
+        return self._is_safe_beside(others, endpoint, request, now)
 
     def _is_safe_beside(self, others: Sequence[Attempt], endpoint: Endpoint, request: Request, now: Ticks) -> bool:
         """Return whether an attempt may reach an endpoint now, given the request's other attempts and its deadline."""
--- a/lanelead/decisions/exposure_budget.py
+++ b/lanelead/decisions/exposure_budget.py
@@ -100,18 +100,21 @@
         bound = self._bound_build(request)
         return self.is_canary(bound) and self._is_guarded(bound, request)
 
+    def is_excluded(self, build: int, request: Request) -> bool:
+        """Return whether a build may get no attempt of a request now, whatever its budget is."""
+        if build < self._bound_build(request):
+            return True
+        return self.is_canary(build) and (self._exposure_limit(build) <= 0 or self._is_guarded(build, request))
+
     def allows(self, build: int, request: Request, now: Ticks) -> bool:
         """Return whether a build may get an attempt of a request now."""
-        bound = self._bound_build(request)
-        if build < bound:
+        if self.is_excluded(build, request):
             return False
         if not self.is_canary(build):
             return True
         limit = self._exposure_limit(build)
-        if limit <= 0 or self._is_guarded(build, request):
-            return False
         needed = 1.0
-        if self._limits.sticky_keys and request.key is not None and build != bound:
+        if self._limits.sticky_keys and request.key is not None and build != self._bound_build(request):
             # Only rarely used keys are newly bound. Each later request of a bound key must go to the canary, so
             # popular keys would use up the budget that requests with bound keys depend on.
             needed = TOKENS_FOR_NEW_KEY
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,6 +8,7 @@
     AttemptOutcome,
     EndpointStatus,
     FailRequest,
+    RolloutPhase,
 )
 from tests.fake_decisions_host import KEYED_CLASS, NON_IDEMPOTENT_CLASS, SECOND, FakeHost
 
@@ -82,6 +83,34 @@
         host.list_endpoint(1, status=EndpointStatus.DRAINING, endpoint=host.endpoints[0])
         self.assertFalse(host.balancer.may_send(attempt))
 
+    def test_a_request_whose_key_was_bound_to_the_canary_while_it_waited_may_not_be_sent_to_the_earlier_build(
+        self,
+    ) -> None:
+        # Guards against a key that goes back to an earlier build than the one that answered it.
+        host = FakeHost(endpoints=1, sticky_keys=True)
+        waiting = host.attempts(host.send_request(KEYED_CLASS, key="k"))[0]
+        self.assertEqual(waiting.endpoint.build, 1)
+        host.list_endpoint(2)
+        host.update_rollout(2, 2, RolloutPhase.PROMOTED, 1.0)
+        answered = next(
+            attempt
+            for attempt in (host.attempts(host.send_request(KEYED_CLASS, key="k"))[0] for _ in range(20))
+            if attempt.endpoint.build == 2
+        )
+        self.assertTrue(host.balancer.may_send(waiting))
+        host.end_attempt(answered)
+        self.assertFalse(host.balancer.may_send(waiting))
+
+    def test_an_attempt_that_waited_until_its_build_was_rolled_back_may_not_be_sent(self) -> None:
+        # Guards against attempts at a canary whose exposure limit has become 0.
+        host = FakeHost(endpoints=0)
+        host.update_rollout(2, 1, RolloutPhase.CANARY, 0.5)
+        host.list_endpoint(2)
+        waiting = host.attempts(host.send_request())[0]
+        self.assertTrue(host.balancer.may_send(waiting))
+        host.update_rollout(2, 1, RolloutPhase.ROLLING_BACK, 0.0)
+        self.assertFalse(host.balancer.may_send(waiting))
+
 
 class Draining(unittest.TestCase):
     def test_no_attempt_goes_to_a_draining_endpoint(self) -> None:
