Platform: a connection keeps the unsent part of its query and sends it itself

Change: `UpstreamConnection.begin_query` and `send_some`; the error for a failed send is handled as before.

--- a/lanelead/postgres_relay/connection_pool.py
+++ b/lanelead/postgres_relay/connection_pool.py
@@ -19,6 +19,7 @@
 
 IDLE_LIMIT_FACTOR = 0.6  # share of the endpoint's own idle timeout, so that the relay closes the connection first
 REUSE_DELAY_SECONDS = 0.01  # duplicated responses arrive 2 to 3 ms late
+NO_BYTES = memoryview(b"")
 
 
 @dataclass(frozen=True)
@@ -64,7 +65,7 @@
         self.health_check: Endpoint | None = None
         self.connected = False  # the endpoint has sent its ReadyForQuery
         self.query_sent = False  # the kernel has accepted the query's last byte
-        self.unsent = memoryview(b"")  # the part of the query that the kernel has not accepted yet
+        self.unsent = NO_BYTES  # the part of the query that the kernel has not accepted yet
         self.writing = False
         self.last_activity = 0.0  # when it was opened or became idle, or when bytes last arrived
         self.reusable_at = 0.0
@@ -72,6 +73,20 @@
         self.connect_timer: asyncio.TimerHandle | None = None
         self.health_check_timer: asyncio.TimerHandle | None = None
 
+    def begin_query(self, text: bytes) -> None:
+        """Makes `text` the query to send; `send_some` sends it."""
+        self.reader.begin_response()
+        self.query_sent = False
+        self.unsent = memoryview(text)
+
+    def send_some(self) -> None:
+        """Sends as much of the query as the kernel accepts at once. Raises OSError if the connection failed."""
+        with contextlib.suppress(BlockingIOError, InterruptedError):
+            self.unsent = self.unsent[self.sock.send(self.unsent) :]
+        if not self.unsent:
+            self.unsent = NO_BYTES  # an empty rest would keep the whole query in memory
+            self.query_sent = True
+
 
 class EndpointPool:
     """The idle connections to one incarnation of an endpoint.
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -125,20 +125,14 @@
         return messages.query(statement.render(max(1, time_left // 10)))
 
     def _send_query(self, connection: UpstreamConnection, text: bytes) -> None:
-        connection.reader.begin_response()
-        connection.query_sent = False
+        connection.begin_query(text)
         try:
-            size = connection.sock.send(text)
-        except (BlockingIOError, InterruptedError):
-            size = 0
+            connection.send_some()
         except OSError:
             self._fail_connection(connection)
             return
-        if size == len(text):
-            connection.query_sent = True
-        else:
+        if not connection.query_sent:
             self.partial_writes += 1
-            connection.unsent = memoryview(text)[size:]
             connection.writing = True
             self._loop.add_writer(connection.sock, self._on_writable, connection)
 
@@ -153,15 +147,12 @@
             self.after_event()
             return
         try:
-            connection.unsent = connection.unsent[connection.sock.send(connection.unsent) :]
-        except (BlockingIOError, InterruptedError):
-            return
+            connection.send_some()
         except OSError:
             self._fail_connection(connection)
             self.after_event()
             return
-        if not connection.unsent:
-            connection.query_sent = True
+        if connection.query_sent:
             connection.writing = False
             self._loop.remove_writer(connection.sock)
 
