--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -352,7 +352,8 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether a started attempt may be sent now; a host must ask right before each write of it.
 
-        An attempt that may not be sent ends with the outcome `NOT_SENT`.
+        An attempt that may not be sent ends with the outcome `NOT_SENT`, or `CANCELLED` if an endpoint may execute a
+        part that was written.
         """
 
     def response_started(self, attempt: Attempt) -> None:
