Tests of delayed sends: the slow reader closes also when a test fails, and stands once

The reading of the rest stood twice. Change: `SlowReader` is an asynchronous context manager and keeps what it read. One test has a plainer name. No check changed.

--- a/tests/send_delays.py
+++ b/tests/send_delays.py
@@ -42,13 +42,19 @@
         self._script = script
         self._connections = 0
         self.resume = asyncio.Event()  # for scripts that stop reading until the test lets them go on
+        self.received = bytearray()  # by `read_after_resume`
 
-    async def open(self) -> int:
-        """Starts to listen; returns the port."""
+    async def __aenter__(self) -> SlowReader:
+        """Starts to listen at `port`."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1024)
         sock = self._server.sockets[0]
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        return int(sock.getsockname()[1])
+        self.port = int(sock.getsockname()[1])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops listening, also when the test fails: a loop with an open server may not end."""
+        self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections += 1
@@ -56,9 +62,11 @@
             await self._script(self._connections, reader, writer)
         writer.close()
 
-    def close(self) -> None:
-        """Stops listening."""
-        self._server.close()
+    async def read_after_resume(self, reader: asyncio.StreamReader, size: int) -> None:
+        """Waits for `resume`, then reads `size` bytes, or what comes until the connection ends."""
+        await self.resume.wait()
+        while len(self.received) < size and (piece := await reader.read(1024)):
+            self.received.extend(piece)
 
 
 async def until(condition: Callable[[], bool]) -> None:
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -13,6 +13,7 @@
 from lanelead.pgwire import messages
 from tests.http_relay_environment import (
     Client,
+    RelayEnvironment,
     relay_environment,
     reset_connections,
     respond_with,
@@ -132,7 +133,7 @@
                 self.assertEqual(len(env.endpoints[0].queries), 1)
 
     @run_on_uvloop
-    async def test_first_attempt_that_its_hedge_overtook_is_not_sent_after_the_window(self) -> None:
+    async def test_first_attempt_whose_hedge_was_sent_earlier_is_not_sent_after_the_window(self) -> None:
         # Guards against a second effect: the first attempt is written long after the hedge has run.
         async def no_response(endpoint: ScriptedEndpoint, text: bytes) -> bytes:
             await asyncio.sleep(20)
@@ -159,8 +160,6 @@
     @run_on_uvloop
     async def test_keyed_retry_that_was_written_half_way_when_the_window_ended_is_not_completed(self) -> None:
         # Guards against a second effect: the endpoint reads the rest of the query when it has forgotten the key.
-        received = bytearray()
-
         async def reset_first(number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big") - 4)
             writer.write(messages.STARTUP_RESPONSE)
@@ -169,9 +168,7 @@
                 await reader.readexactly(int.from_bytes(head[1:], "big") - 4)
                 writer.transport.abort()
             else:
-                await server.resume.wait()
-                while piece := await reader.read(1024):
-                    received.extend(piece)
+                await server.read_after_resume(reader, 2 * BODY_BYTES)
 
         server = SlowReader(reset_first)
         endpoint = ScriptedEndpoint("u0")
@@ -179,9 +176,9 @@
         comment = statement("1a", "save", DEADLINE_MS, ",k=key-1").decode().partition("/*")[2]
         query = messages.query(f"{insert} /*{comment}".encode())
         with keyed_settings():
-            async with platform(endpoint) as env:
+            async with server, platform(endpoint) as env:
                 endpoint.server.close()
-                change_listed_endpoint(env, addr=f"127.0.0.1:{await server.open()}")
+                change_listed_endpoint(env, addr=f"127.0.0.1:{server.port}")
                 client = await env.client()
                 with mock.patch("lanelead.postgres_relay.connection_pool.socket.socket", SmallSendBufferSocket):
                     client.writer.write(query)
@@ -191,9 +188,8 @@
                     server.resume.set()
                     response = await client.response()
                     await env.until(lambda: not env.relay.upstream.connections)
-        self.assertLess(len(received), BODY_BYTES)
+        self.assertLess(len(server.received), BODY_BYTES)
         self.assertEqual(response["C"], b"58000")
-        server.close()
 
 
 class HttpRelay(unittest.TestCase):
@@ -295,29 +291,29 @@
                 self.assertEqual((await client.read_response())[0], 502)
                 self.assertEqual(len(endpoint.requests), 22)
 
+    async def _move(self, env: RelayEnvironment, endpoint: HttpEndpoint, port: int) -> None:
+        """Lists an endpoint at another port, and waits until the relay knows of it."""
+        endpoint.close()
+        endpoint.port = port
+        env.list_(endpoint, "ready")
+        await until(lambda: {at.port for at in env.relay.driver.destinations.values()} == {port})
+
     @run_on_uvloop
     async def test_keyed_retry_that_was_written_half_way_when_the_window_ended_is_not_completed(self) -> None:
         # Guards against a second effect: the endpoint reads the rest of the request when it has forgotten the key.
-        received = bytearray()
-
         async def reset_first(number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
             if number == 1:
                 await reader.readexactly(BODY_BYTES)
                 writer.transport.abort()
             else:
-                await server.resume.wait()
-                while piece := await reader.read(1024):
-                    received.extend(piece)
+                await server.read_after_resume(reader, 2 * BODY_BYTES)
 
         server = SlowReader(reset_first)
         endpoint = HttpEndpoint("u0", respond_with())
         with http_keyed_settings():
-            async with relay_environment(endpoint) as env:
-                endpoint.close()
-                endpoint.port = await server.open()
-                env.list_(endpoint, "ready")
-                await until(lambda: {at.port for at in env.relay.driver.destinations.values()} == {endpoint.port})
+            async with server, relay_environment(endpoint) as env:
+                await self._move(env, endpoint, server.port)
                 pools, client = env.relay.upstream.pools, await Client.to(env)
                 with mock.patch("lanelead.http_relay.connection_pool.socket.socket", SmallSendBufferSocket):
                     client.send("PUT", "/x", b"b" * BODY_BYTES, idempotency_key="r1")
@@ -331,9 +327,8 @@
                     server.resume.set()
                     status, _, _ = await client.read_response()
                     await until(lambda: not pools._reader_tasks)
-        self.assertLess(len(received), BODY_BYTES)
+        self.assertLess(len(server.received), BODY_BYTES)
         self.assertEqual(status, 502)
-        server.close()
 
 
 if __name__ == "__main__":
