What an endpoint has begun to receive is completed while the endpoint drains

What callers saw: over HTTP, an upload that the kernel took in pieces was cancelled when its endpoint was listed as draining meanwhile; one that is not idempotent failed with 502 whenever its endpoint was replaced. On the platform it was sent elsewhere instead. Cause: asked `destination_of` before each further write, which also checks what has to hold at the first byte only: status, list, exposure. Change: before a further write both relays ask `DecisionDriver.may_complete`: retries, scope, window and deadline alone.

--- a/lanelead/decisions/admission.py
+++ b/lanelead/decisions/admission.py
@@ -1,7 +1,7 @@
 """Checks that every attempt must pass: endpoint status, retry safety, slow start, and canary exposure.
 
 An attempt is checked when it is started. It may then wait, for example for a connection, so what time or other attempts
-can change meanwhile is checked again right before it is sent.
+can change meanwhile is checked again right before it is sent, and before the rest of it if it is sent in parts.
 """
 
 from collections.abc import Sequence
@@ -69,23 +69,30 @@
         """Return whether a request's idempotency, attempts so far and deadline allow another attempt at an endpoint."""
         if len(request.attempts) >= self._quota.max_attempts:
             return False
-        return self._is_safe_beside(request.attempts, endpoint, request, now)
+        return self._is_retry_safe(request.attempts, endpoint, request, now)
 
     def may_send(self, attempt: Attempt, now: Ticks) -> bool:
         """Return whether an attempt that was permitted when it started may be sent now.
 
-        Meanwhile the endpoint may have left, its build may have been rolled back, the request may have ended, its key
-        may have been bound to a later build, and the endpoint may have forgotten the key of a request of which another
-        attempt was executed.
+        Meanwhile the endpoint may have left, its build may have been rolled back, and the request's key may have been
+        bound to a later build.
         """
         endpoint = attempt.endpoint
-        request = attempt.request
-        if endpoint.status is not EndpointStatus.READY or self.exposure.is_excluded(endpoint.build, request):
+        if endpoint.status is not EndpointStatus.READY or self.exposure.is_excluded(endpoint.build, attempt.request):
             return False
+        return self.may_complete(attempt, now)
+
+    def may_complete(self, attempt: Attempt, now: Ticks) -> bool:
+        """Return whether the rest of an attempt that was sent in part may be sent now.
+
+        Meanwhile the request may have ended, and the endpoint may have forgotten its key although another attempt was
+        executed. An endpoint that drains still serves what it has begun to receive.
+        """
+        request = attempt.request
         others = [other for other in request.attempts if other is not attempt]
-        return self._is_safe_beside(others, endpoint, request, now)
+        return self._is_retry_safe(others, attempt.endpoint, request, now)
 
-    def _is_safe_beside(self, others: Sequence[Attempt], endpoint: Endpoint, request: Request, now: Ticks) -> bool:
+    def _is_retry_safe(self, others: Sequence[Attempt], endpoint: Endpoint, request: Request, now: Ticks) -> bool:
         """Return whether an attempt may reach an endpoint now, given the request's other attempts and its deadline."""
         if request.finished or now >= request.deadline:
             return False
--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -350,10 +350,16 @@
         """Start to route a new request."""
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Return whether a started attempt may be sent now; a host must ask right before each write of it.
+        """Return whether a started attempt may be sent now; a host must ask right before its first byte.
 
-        An attempt that may not be sent ends with the outcome `NOT_SENT`, or `CANCELLED` if an endpoint may execute a
-        part that was written.
+        An attempt that may not be sent ends with the outcome `NOT_SENT`.
+        """
+
+    def may_complete(self, attempt: Attempt) -> bool:
+        """Return whether the rest of an attempt may be sent now; a host must ask before each further write of it.
+
+        An attempt that may not be completed ends with the outcome `NOT_SENT`, or `CANCELLED` if the endpoint may
+        execute the part that was sent.
         """
 
     def response_started(self, attempt: Attempt) -> None:
--- a/lanelead/decisions/request_routing.py
+++ b/lanelead/decisions/request_routing.py
@@ -47,6 +47,10 @@
         """Return whether a started attempt may be sent now; it may have waited, for example for a connection."""
         return self._guards.may_send(attempt, self.now)
 
+    def may_complete(self, attempt: Attempt) -> bool:
+        """Return whether the rest of an attempt that was sent in part may be sent now."""
+        return self._guards.may_complete(attempt, self.now)
+
     def _route(self, request: Request) -> RequestRoutine:
         """Yield endpoints to try and times to wait until, as `RequestScheduler` expects, until the request ends.
 
--- a/lanelead/http_relay/upstream_requests.py
+++ b/lanelead/http_relay/upstream_requests.py
@@ -146,7 +146,7 @@
     async def _send(self, connection: UpstreamConnection, attempt: Attempt, text: bytes) -> None:
         """Sends a whole request, in several writes if the kernel does not accept it at once.
 
-        Cancels the attempt if it may not be sent any more before a further write. Raises OSError if the connection
+        Cancels the attempt if it may not be completed any more. Raises OSError if the connection
         fails or is closed meanwhile.
         """
         assert self.driver is not None
@@ -154,7 +154,7 @@
         self.partial_writes += len(unsent) > 0
         while unsent:
             await self.pools.until_writable(connection)
-            if connection.attempt is attempt and self.driver.destination_of(attempt) != connection.pool.destination:
+            if connection.attempt is attempt and not self.driver.may_complete(attempt):
                 self.cancel_attempt(attempt)
                 self.driver.attempt_ended(attempt, AttemptOutcome.CANCELLED)
                 self.after_event()
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -142,7 +142,7 @@
             self._on_connect_ended(connection)
             return
         attempt = connection.attempt
-        if attempt is not None and self.driver.destination_of(attempt) != connection.pool.destination:
+        if attempt is not None and not self.driver.may_complete(attempt):
             self._withdraw_query(connection, attempt)
             self.after_event()
             return
@@ -157,7 +157,7 @@
             self._loop.remove_writer(connection.sock)
 
     def _withdraw_query(self, connection: UpstreamConnection, attempt: Attempt) -> None:
-        """Ends an attempt that may not be sent any more and was not written completely, so that it cannot run."""
+        """Ends an attempt that may not be completed: it cannot run, since its last byte was not written."""
         connection.attempt = None
         self._close_connection(connection)
         self._attempt_ended(attempt, AttemptOutcome.NOT_SENT, None)
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -197,10 +197,10 @@
     def destination_of(self, attempt: Attempt) -> Destination | None:
         """Returns where to send an attempt, or None if it must not be sent any more.
 
-        The host calls this right before it writes an attempt's first byte, and again before the rest if not all of it
-        could be written at once, since the attempt may have waited. The result is None if the decisions do not permit
-        it any more, the endpoint is removed, or a migration does not allow requests to its build. The decisions' time
-        is set to the clock's, so that the host can tell the endpoint how much time is left now.
+        The host calls this right before it writes an attempt's first byte, since the attempt may have waited. The
+        result is None if the decisions do not permit it any more, the endpoint is removed, or a migration does not
+        allow requests to its build. The decisions' time is set to the clock's, so that the host can tell the endpoint
+        how much time is left now.
         """
         now = self._advance_clock()
         destination = self.destinations.get(attempt.endpoint)
@@ -211,6 +211,11 @@
         self.counters.max_send_delay = max(self.counters.max_send_delay, now - attempt.sent_at)
         return destination
 
+    def may_complete(self, attempt: Attempt) -> bool:
+        """Returns whether the host may write more of an attempt that it could not write at once."""
+        self._advance_clock()
+        return self.decisions.may_complete(attempt)
+
     # Endpoints
 
     def health_checked(
--- a/lanelead/runtime/driver_counters.py
+++ b/lanelead/runtime/driver_counters.py
@@ -20,4 +20,4 @@
     attempts: int = 0
     withheld_votes: int = 0  # votes to promote past a stage whose migrations are not done
     outcomes: dict[AttemptOutcome, int] = field(default_factory=dict)  # number of attempts by outcome
-    max_send_delay: Ticks = 0  # from the decision to start an attempt until a write of it
+    max_send_delay: Ticks = 0  # from the decision to start an attempt until its first byte could be written
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -83,6 +83,18 @@
         host.list_endpoint(1, status=EndpointStatus.DRAINING, endpoint=host.endpoints[0])
         self.assertFalse(host.balancer.may_send(attempt))
 
+    def test_an_attempt_that_was_sent_in_part_may_be_completed_while_its_endpoint_drains_but_not_after_the_window(
+        self,
+    ) -> None:
+        host = FakeHost(endpoints=1)
+        request = host.send_request(KEYED_CLASS)
+        host.end_attempt(host.attempts(request)[0], AttemptOutcome.RESET)
+        first, retry = host.attempts(request)
+        host.list_endpoint(1, status=EndpointStatus.DRAINING, endpoint=host.endpoints[0])
+        self.assertTrue(host.balancer.may_complete(retry))
+        host.balancer.now = first.sent_at + KEYED_CLASS.deduplication_window
+        self.assertFalse(host.balancer.may_complete(retry))
+
     def test_a_request_whose_key_was_bound_to_the_canary_while_it_waited_may_not_be_sent_to_the_earlier_build(
         self,
     ) -> None:
--- a/tests/test_send_permission.py
+++ b/tests/test_send_permission.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+from lanelead.decisions.interface import EndpointStatus
 from lanelead.http import serialization
 from lanelead.pgwire import messages
 from tests.http_relay_environment import (
@@ -330,6 +331,30 @@
         self.assertLess(len(server.received), BODY_BYTES)
         self.assertEqual(status, 502)
 
+    @run_on_uvloop
+    async def test_request_that_is_written_in_part_when_its_endpoint_drains_is_completed(self) -> None:
+        # Guards against a non-idempotent upload that fails whenever its endpoint is replaced.
+        async def respond(number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await server.read_after_resume(reader, BODY_BYTES)
+            writer.write(serialization.response(200, (), b""))
+
+        server = SlowReader(respond)
+        endpoint = HttpEndpoint("u0", respond_with())
+        with http_keyed_settings():
+            async with server, relay_environment(endpoint) as env:
+                await self._move(env, endpoint, server.port)
+                client = await Client.to(env)
+                with mock.patch("lanelead.http_relay.connection_pool.socket.socket", SmallSendBufferSocket):
+                    client.send("POST", "/x", b"b" * BODY_BYTES)
+                    await until(lambda: state_of(env)["partial_writes"] == 1)
+                    env.list_(endpoint, "draining")
+                    registered = env.relay.driver.registry.by_name["u0"]
+                    await until(lambda: registered.status is EndpointStatus.DRAINING)
+                    server.resume.set()
+                    self.assertEqual((await client.read_response())[0], 200)
+        self.assertEqual(len(server.received), BODY_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
