Review case 8: over HTTP, a late second answer is served to another client's request

Cause: ConnectionPools of the relay over HTTP offers a connection again as soon as an answer was read, without a rest. Change: review/8: one answer in 20 comes a second time, 3 ms late.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,84 @@
+"""An endpoint's answers now and then come a second time, 3 ms late; over HTTP they are served to other requests."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+
+from standins import Record, free_port, main, verdict
+from web import Client, Discovery, Endpoint, Process, Rollout, response, write_settings
+
+SECONDS = 15.0
+LATE_SECONDS = 0.003
+EVERY = 20  # one answer of so many comes twice
+
+
+class Twice:
+    """The behaviour of an endpoint, some of whose answers come a second time."""
+
+    def __init__(self) -> None:
+        self._rng = Random(7)
+        self.count = 0
+
+    async def __call__(self, endpoint: Endpoint, request_id: str, writer: asyncio.StreamWriter) -> None:
+        """Runs a request and answers it once, or twice."""
+        await asyncio.sleep(endpoint.work)
+        endpoint.record.add("ran", unit=endpoint.name, id=request_id)
+        answer = response(200, endpoint.value(request_id))
+        writer.write(answer)
+        if self._rng.random() < 1 / EVERY:
+            self.count += 1
+            endpoint.record.add("second answer", unit=endpoint.name, id=request_id, late_s=LATE_SECONDS)
+            asyncio.get_running_loop().call_later(LATE_SECONDS, writer.write, answer)
+
+
+async def play() -> int:
+    """Plays the case and returns the exit code."""
+    record = Record(Path(__file__).parent / "record.txt")
+    endpoints = [Endpoint(record, f"u-{number}", 1) for number in range(4)]
+    twice = Twice()
+    if os.environ.get("TROUBLE") != "0":
+        for endpoint in endpoints:
+            endpoint.behaviour = twice
+    discovery = Discovery(record, endpoints)
+    rollout = Rollout(record, build=1, stage=3, phase="released", cap=1.0)
+    for server in (*endpoints, discovery, rollout):
+        await server.open()
+    port = free_port()
+    with tempfile.TemporaryDirectory() as temporary:
+        file = Path(temporary) / "relay.cue"
+        write_settings(file, port, ["offer-status", "offer-submit"], roster=discovery.port, desk=rollout.port)
+        relay = Process(record, Path(temporary), "relay", "relay", "--settings", str(file))
+        try:
+            await relay.start()
+            await asyncio.gather(*(ask_on(Client(record, port, f"c{number}"), number) for number in range(8)))
+        finally:
+            await relay.kill()
+    answers = record.of("answer")
+    foreign = record.of("foreign value")
+    broken = [f"{event['id']} was served with {event['value']!r}" for event in foreign]
+    record.add("verdict", answers=len(answers), second_answers=twice.count, foreign=len(foreign))
+    record.close()
+    return verdict(broken, could_run=sum(event["outcome"] == "done" for event in answers) > 100)
+
+
+async def ask_on(client: Client, number: int) -> None:
+    """Lets a client ask one request after another."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + SECONDS
+    count = 0
+    while loop.time() < end:
+        count += 1
+        submit = count % 3 == 0
+        request_id = f"c{number}-{count}"
+        await client.ask(request_id, "POST" if submit else "GET", "/offers", 4.0 if submit else 6.0)
+        await asyncio.sleep(0.01)
+    client.drop()
+
+
+if __name__ == "__main__":
+    sys.exit(main(play))
