Review case 8: endpoints turn away some requests, and offers are filed twice

Cause: a late second copy of a "turned away" answer is taken for the answer to the next request, which is then sent again. Change: the endpoints of review/8 turn away 15% of the requests, with and without the disruption; the stand-ins take ports below the range of outgoing connections.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""An endpoint's answers now and then come a second time, 3 ms late; over HTTP they are served to other requests."""
+"""Answers now and then come a second time, 3 ms late; over HTTP they are taken for the answers to other requests."""
 
 from __future__ import annotations
 
@@ -6,31 +6,37 @@
 import os
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from random import Random
 
 from standins import Record, free_port, main, verdict
 from web import Client, Discovery, Endpoint, Process, Rollout, response, write_settings
 
-SECONDS = 15.0
+SECONDS = 25.0
 LATE_SECONDS = 0.003
 EVERY = 20  # one answer of so many comes twice
+FULL = 0.15  # of the requests are turned away, since the queue is full; these never run
 
 
 class Twice:
-    """The behaviour of an endpoint, some of whose answers come a second time."""
+    """The behaviour of an endpoint whose queue is full at times, and some of whose answers come a second time."""
 
-    def __init__(self) -> None:
+    def __init__(self, copies: bool) -> None:
+        self.copies = copies
         self._rng = Random(7)
         self.count = 0
 
     async def __call__(self, endpoint: Endpoint, request_id: str, writer: asyncio.StreamWriter) -> None:
         """Runs a request and answers it once, or twice."""
-        await asyncio.sleep(endpoint.work)
-        endpoint.record.add("ran", unit=endpoint.name, id=request_id)
-        answer = response(200, endpoint.value(request_id))
+        if self._rng.random() < FULL:
+            answer = response(503, b"queue full", Lanelead_Turned_Away="1")
+        else:
+            await asyncio.sleep(endpoint.work)
+            endpoint.record.add("ran", unit=endpoint.name, id=request_id)
+            answer = response(200, endpoint.value(request_id))
         writer.write(answer)
-        if self._rng.random() < 1 / EVERY:
+        if self.copies and self._rng.random() < 1 / EVERY:
             self.count += 1
             endpoint.record.add("second answer", unit=endpoint.name, id=request_id, late_s=LATE_SECONDS)
             asyncio.get_running_loop().call_later(LATE_SECONDS, writer.write, answer)
@@ -40,10 +46,9 @@
     """Plays the case and returns the exit code."""
     record = Record(Path(__file__).parent / "record.txt")
     endpoints = [Endpoint(record, f"u-{number}", 1) for number in range(4)]
-    twice = Twice()
-    if os.environ.get("TROUBLE") != "0":
-        for endpoint in endpoints:
-            endpoint.behaviour = twice
+    twice = Twice(os.environ.get("TROUBLE") != "0")
+    for endpoint in endpoints:
+        endpoint.behaviour = twice
     discovery = Discovery(record, endpoints)
     rollout = Rollout(record, build=1, stage=3, phase="released", cap=1.0)
     for server in (*endpoints, discovery, rollout):
@@ -60,8 +65,13 @@
             await relay.kill()
     answers = record.of("answer")
     foreign = record.of("foreign value")
-    broken = [f"{event['id']} was served with {event['value']!r}" for event in foreign]
-    record.add("verdict", answers=len(answers), second_answers=twice.count, foreign=len(foreign))
+    submits = {event["id"] for event in record.of("sent") if event["method"] == "POST"}
+    runs = Counter(event["id"] for event in record.of("ran") if event["id"] in submits)
+    repeated = {request_id: count for request_id, count in runs.items() if count > 1}
+    broken = [f"the offer of {request_id} was filed {count} times" for request_id, count in repeated.items()]
+    broken += [f"{event['id']} was served with {event['value']!r}" for event in foreign]
+    counts = {"answers": len(answers), "second_answers": twice.count}
+    record.add("verdict", **counts, foreign=len(foreign), filed_twice=len(repeated))
     record.close()
     return verdict(broken, could_run=sum(event["outcome"] == "done" for event in answers) > 100)
 
--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -18,6 +18,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -163,10 +164,13 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Returns a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Returns a port that is free now, below those that the kernel gives to outgoing connections."""
+    below = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    for port in SystemRandom().sample(range(min(10_000, below // 2), below), 100):
+        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("no free port")
 
 
 def fields_of(text: bytes) -> dict[str, str]:
@@ -569,8 +573,13 @@
         self.discovery = Discovery(self.record, self.units)
         self.rollout = Rollout(self.record)
         self._request_count = 0
-        self._clients: list[Client] = []
-        self._stopping = False
+        self._tasks: dict[asyncio.Task[None], None] = {}
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a task until it ends, or until the world closes."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
     async def open(self) -> None:
         """Starts all stand-ins and the relay."""
@@ -583,6 +592,8 @@
 
     async def close(self) -> None:
         """Ends the relay and the stand-ins."""
+        for task in list(self._tasks):
+            task.cancel()
         await self.relay.end()
         for line in self.relay.log_lines():
             if '"state"' not in line:
