Review case 8: SIGTERM beside bad clients stops the relay's loop, and requests go unanswered

Change: review/8 is now this case, with review/common2/crowd.py. The earlier case 8 went out: review/2 already shows its fault.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,93 +1,94 @@
-"""Answers now and then come a second time, 3 ms late; over HTTP they are taken for the answers to other requests."""
+"""A planned restart while bad clients send at full speed: the relay reads them to the end, and answers nobody."""
 
 from __future__ import annotations
 
 import asyncio
 import os
+import signal
 import sys
-import tempfile
-from collections import Counter
 from pathlib import Path
-from random import Random
 
-from standins import Record, free_port, main, verdict
-from web import Client, Discovery, Endpoint, Process, Rollout, response, write_settings
+from standins import World, main, verdict
 
-SECONDS = 25.0
-LATE_SECONDS = 0.003
-EVERY = 20  # one answer of so many comes twice
-FULL = 0.15  # of the requests are turned away, since the queue is full; these never run
+CLIENTS = 60  # bad ones
+PROCESSES = 2  # that they are spread over
+COMMANDS = 900  # of each
+VALUE_BYTES = 60_000  # values of 64 KiB at most
+CALM_SECONDS = 4.0
+BAD_SECONDS = 1.0  # before SIGTERM
+KILL_SECONDS = 3.7  # after SIGTERM: the longest time of a request counts as 3 s, and 0.7 s more
+LATE_SECONDS = 0.5 + 0.05  # after its time a request is lost
 
 
-class Twice:
-    """The behaviour of an endpoint whose queue is full at times, and some of whose answers come a second time."""
+async def crowd(world: World, name: str) -> None:
+    """Runs the bad clients of one process until they have ended."""
+    arguments = (world.relay.port, CLIENTS // PROCESSES, COMMANDS, VALUE_BYTES, name)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, Path(__file__).parents[1] / "common2" / "crowd.py", *(str(argument) for argument in arguments)
+    )
+    try:
+        await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
 
-    def __init__(self, copies: bool) -> None:
-        self.copies = copies
-        self._rng = Random(7)
-        self.count = 0
 
-    async def __call__(self, endpoint: Endpoint, request_id: str, writer: asyncio.StreamWriter) -> None:
-        """Runs a request and answers it once, or twice."""
-        if self._rng.random() < FULL:
-            answer = response(503, b"queue full", Lanelead_Turned_Away="1")
-        else:
-            await asyncio.sleep(endpoint.work)
-            endpoint.record.add("ran", unit=endpoint.name, id=request_id)
-            answer = response(200, endpoint.value(request_id))
-        writer.write(answer)
-        if self.copies and self._rng.random() < 1 / EVERY:
-            self.count += 1
-            endpoint.record.add("second answer", unit=endpoint.name, id=request_id, late_s=LATE_SECONDS)
-            asyncio.get_running_loop().call_later(LATE_SECONDS, writer.write, answer)
+async def restart(world: World) -> float:
+    """Ends the relay as a planned restart does, and returns when SIGTERM was sent."""
+    assert world.relay.process is not None
+    world.relay.signal(signal.SIGTERM)
+    at = world.record.now()
+    try:
+        async with asyncio.timeout(KILL_SECONDS):
+            await world.relay.process.wait()
+        world.record.add("the relay has ended")
+    except TimeoutError:
+        world.relay.signal(signal.SIGKILL)
+        await world.relay.process.wait()
+    return at
 
 
-async def play() -> int:
-    """Plays the case and returns the exit code."""
-    record = Record(Path(__file__).parent / "record.txt")
-    endpoints = [Endpoint(record, f"u-{number}", 1) for number in range(4)]
-    twice = Twice(os.environ.get("TROUBLE") != "0")
-    for endpoint in endpoints:
-        endpoint.behaviour = twice
-    discovery = Discovery(record, endpoints)
-    rollout = Rollout(record, build=1, stage=3, phase="released", cap=1.0)
-    for server in (*endpoints, discovery, rollout):
-        await server.open()
-    port = free_port()
-    with tempfile.TemporaryDirectory() as temporary:
-        file = Path(temporary) / "relay.cue"
-        write_settings(file, port, ["offer-status", "offer-submit"], roster=discovery.port, desk=rollout.port)
-        relay = Process(record, Path(temporary), "relay", "relay", "--settings", str(file))
-        try:
-            await relay.start()
-            await asyncio.gather(*(ask_on(Client(record, port, f"c{number}"), number) for number in range(8)))
-        finally:
-            await relay.kill()
-    answers = record.of("answer")
-    foreign = record.of("foreign value")
-    submits = {event["id"] for event in record.of("sent") if event["method"] == "POST"}
-    runs = Counter(event["id"] for event in record.of("ran") if event["id"] in submits)
-    repeated = {request_id: count for request_id, count in runs.items() if count > 1}
-    broken = [f"the offer of {request_id} was filed {count} times" for request_id, count in repeated.items()]
-    broken += [f"{event['id']} was served with {event['value']!r}" for event in foreign]
-    counts = {"answers": len(answers), "second_answers": twice.count}
-    record.add("verdict", **counts, foreign=len(foreign), filed_twice=len(repeated))
-    record.close()
-    return verdict(broken, could_run=sum(event["outcome"] == "done" for event in answers) > 100)
+def lost_requests(world: World, stopped_at: float) -> list[str]:
+    """Returns the requests without an answer in time, whose connection stood and whose time ended before SIGKILL.
+
+    A request whose connection the relay ended is left out: the close may have crossed it.
+    """
+    sent = {event["id"]: event for event in world.record.of("sent")}
+    lost = []
+    for answer in world.record.of("answer"):
+        request = sent.get(answer["id"])
+        if request is None or answer["outcome"] == "closed":
+            continue
+        due = request["at"] + request["d"] / 1000 + LATE_SECONDS
+        late = answer["outcome"] == "never" or answer["at"] > due
+        if late and due < stopped_at + KILL_SECONDS:
+            lost.append(
+                f"{answer['id']} came {request['at'] - stopped_at:+.2f} s from SIGTERM with {request['d']} ms left: "
+                f"{answer['outcome']}, {answer['at'] - request['at']:.2f} s later"
+            )
+    return lost
 
 
-async def ask_on(client: Client, number: int) -> None:
-    """Lets a client ask one request after another."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + SECONDS
-    count = 0
-    while loop.time() < end:
-        count += 1
-        submit = count % 3 == 0
-        request_id = f"c{number}-{count}"
-        await client.ask(request_id, "POST" if submit else "GET", "/offers", 4.0 if submit else 6.0)
-        await asyncio.sleep(0.01)
-    client.drop()
+async def play() -> int:
+    """Plays the case and returns the exit code."""
+    world = World(Path(__file__).parent, work=0.25)
+    try:
+        await world.open()
+        load = asyncio.create_task(world.load(30, CALM_SECONDS + BAD_SECONDS + 1, share_of_limit=0.4))
+        await asyncio.sleep(CALM_SECONDS)
+        if os.environ.get("TROUBLE") != "0":
+            for number in range(PROCESSES):
+                world.start(crowd(world, f"bad{number}-"))
+        await asyncio.sleep(BAD_SECONDS)
+        stopped_at = await restart(world)
+        await load
+        served = [event for event in world.record.of("answer") if event["outcome"] == "served"]
+        broken = lost_requests(world, stopped_at)
+        world.record.add("verdict", stopped_at=stopped_at, served=len(served), lost=len(broken))
+        return verdict(broken, could_run=len(served) > 50)
+    finally:
+        await world.close()
 
 
 if __name__ == "__main__":
--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -38,7 +38,7 @@
         "maxRetryAfterMs": 2000.0,
         "maxStreams": 1,
         "mayCancel": True,
-        "openCap": 1000,
+        "openCap": 26666,
         "peers": True,
         "probes": True,
         "retryAfter": True,
@@ -129,6 +129,12 @@
     )
 
 
+def startup() -> bytes:
+    """Encodes a startup message."""
+    body = (196608).to_bytes(4, "big") + b"user\0app\0database\0shop\0\0"
+    return (len(body) + 4).to_bytes(4, "big") + body
+
+
 def error(code: str, text: str) -> bytes:
     """Encodes an ErrorResponse."""
     return message(b"E", b"SERROR\0VERROR\0C" + code.encode() + b"\0M" + text.encode() + b"\0\0")
@@ -421,8 +427,7 @@
     async def connect(self) -> None:
         """Connects and sends the startup message."""
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
-        body = (196608).to_bytes(4, "big") + b"user\0app\0database\0shop\0\0"
-        self.writer.write((len(body) + 4).to_bytes(4, "big") + body)
+        self.writer.write(startup())
         await self._until_ready()
 
     async def _until_ready(self) -> dict[str, bytes]:
@@ -581,13 +586,14 @@
         self._tasks[task] = None
         task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
-    async def open(self) -> None:
-        """Starts all stand-ins and the relay."""
+    async def open(self, **config: Any) -> None:
+        """Starts all stand-ins and the relay, whose configuration may differ in some fields."""
         for unit in self.units:
             await unit.open()
         await self.discovery.open()
         await self.rollout.open()
         self.relay = Relay(self.record, Path(self._temporary.name), self.discovery, self.rollout, self.units)
+        self.relay.config |= config
         await self.relay.start()
 
     async def close(self) -> None:
@@ -606,19 +612,23 @@
         self._request_count += 1
         return f"{self._request_count:016x}"
 
-    async def load(self, clients: int, seconds: float, pause: float = 0.1, submit_every: int = 3) -> None:
-        """Lets clients ask one request after another for some seconds; every third one is an `offer-submit`."""
-        await asyncio.gather(*(self._ask_on(number, seconds, pause, submit_every) for number in range(clients)))
+    async def load(self, clients: int, seconds: float, pause: float = 0.1, share_of_limit: float = 1.0) -> None:
+        """Lets clients ask one request after another for some seconds; every third one is an `offer-submit`.
+
+        They wait for an answer for a share of their class's outer limit.
+        """
+        await asyncio.gather(*(self._ask_on(number, seconds, pause, share_of_limit) for number in range(clients)))
 
-    async def _ask_on(self, number: int, seconds: float, pause: float, submit_every: int) -> None:
+    async def _ask_on(self, number: int, seconds: float, pause: float, share_of_limit: float) -> None:
         client = Client(self.record, self.relay.port, f"c{number}")
         end = time.monotonic() + seconds
         count = number
         await asyncio.sleep(pause * number / 10)
         while time.monotonic() < end:
             count += 1
-            submit = count % submit_every == 0
-            await client.ask(self.new_id(), "offer-submit" if submit else "offer-status", 4000 if submit else 6000)
+            submit = count % 3 == 0
+            limit = int((4000 if submit else 6000) * share_of_limit)
+            await client.ask(self.new_id(), "offer-submit" if submit else "offer-status", limit)
             await asyncio.sleep(pause)
         client.drop()
 
--- a/review/common2/web.py
+++ b/review/common2/web.py
@@ -225,20 +225,28 @@
 
 
 class Process:
-    """A process of the project's own: `python -m lanelead ...`; its standard error goes to a file."""
+    """A process of the project's own: `python -m lanelead ...`; its standard error goes to a file.
 
-    def __init__(self, record: Record, folder: Path, name: str, *arguments: str) -> None:
+    It may hold at most `descriptors` file descriptors; 0: as many as this process.
+    """
+
+    def __init__(self, record: Record, folder: Path, name: str, *arguments: str, descriptors: int = 0) -> None:
         self.record = record
         self.name = name
         self.arguments = arguments
+        self._limit = f"ulimit -n {descriptors}; " if descriptors else ""
         self._log = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> str:
         """Starts the process, and returns the first line that it prints."""
         with self._log.open("ab") as log:
+            command = [PYTHON, "-m", "lanelead", *self.arguments]
             self.process = await asyncio.create_subprocess_exec(
-                PYTHON, "-m", "lanelead", *self.arguments, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=log
+                *("/bin/sh", "-c", f'{self._limit}exec "$@"', "sh", *command),
+                cwd=ROOT,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
             )
         self.record.add("started", process=self.name, pid=self.process.pid)
         assert self.process.stdout is not None
