--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from pathlib import Path
 
-from standins import Unit, World, main, verdict
+from standins_2 import Unit, World, main, verdict
 
 DELAY_SECONDS = 0.8
 TOLD_AFTER_SECONDS = 6.0  # discovery had the change and could be reached: it counts as told by then
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,8 +8,9 @@
 import sys
 from pathlib import Path
 
-from standins import World, main, verdict
+from standins_2 import World, main, verdict
 
+RELAYS = 4  # of which one is restarted
 CLIENTS = 60  # bad ones
 PROCESSES = 2  # that they are spread over
 COMMANDS = 900  # of each
@@ -24,7 +25,7 @@
     """Runs the bad clients of one process until they have ended."""
     arguments = (world.relay.port, CLIENTS // PROCESSES, COMMANDS, VALUE_BYTES, name)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, Path(__file__).parents[1] / "common2" / "crowd.py", *(str(argument) for argument in arguments)
+        sys.executable, Path(__file__).parents[1] / "crowd_2.py", *(str(argument) for argument in arguments)
     )
     try:
         await process.wait()
@@ -74,7 +75,7 @@
     """Plays the case and returns the exit code."""
     world = World(Path(__file__).parent, work=0.25)
     try:
-        await world.open()
+        await world.open(RELAYS)
         load = asyncio.create_task(world.load(30, CALM_SECONDS + BAD_SECONDS + 1, share_of_limit=0.4))
         await asyncio.sleep(CALM_SECONDS)
         if os.environ.get("TROUBLE") != "0":
--- a/review/common2/crowd.py
+++ b/review/crowd_2.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from standins import startup
+from standins_2 import startup
 
 SECONDS = 25.0
 
--- a/review/common2/web.py
+++ b/review/web_2.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from standins import ROOT, Record
+from standins_2 import ROOT, Record
 
 Headers = dict[str, str]
 LANES: dict[str, dict[str, Any]] = {
@@ -225,28 +225,20 @@
 
 
 class Process:
-    """A process of the project's own: `python -m lanelead ...`; its standard error goes to a file.
+    """A process of the project's own: `python -m lanelead ...`; its standard error goes to a file."""
 
-    It may hold at most `descriptors` file descriptors; 0: as many as this process.
-    """
-
-    def __init__(self, record: Record, folder: Path, name: str, *arguments: str, descriptors: int = 0) -> None:
+    def __init__(self, record: Record, folder: Path, name: str, *arguments: str) -> None:
         self.record = record
         self.name = name
         self.arguments = arguments
-        self._limit = f"ulimit -n {descriptors}; " if descriptors else ""
         self._log = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> str:
         """Starts the process, and returns the first line that it prints."""
         with self._log.open("ab") as log:
-            command = [PYTHON, "-m", "lanelead", *self.arguments]
             self.process = await asyncio.create_subprocess_exec(
-                *("/bin/sh", "-c", f'{self._limit}exec "$@"', "sh", *command),
-                cwd=ROOT,
-                stdout=asyncio.subprocess.PIPE,
-                stderr=log,
+                PYTHON, "-m", "lanelead", *self.arguments, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=log
             )
         self.record.add("started", process=self.name, pid=self.process.pid)
         assert self.process.stdout is not None
@@ -314,12 +306,12 @@
         self._reader = self._writer = None
 
 
-def write_settings(file: Path, port: int, lanes: list[str], **feeds: int) -> None:
+def write_settings(file: Path, port: int, lanes: list[str], number: int = 0, relays: int = 1, **feeds: int) -> None:
     """Writes the settings of a relay that listens at a port; `feeds` are the ports of roster, desk and steps."""
     feed = {"least_wait_ms": 50, "most_wait_ms": 500, "silence_ms": 3000}
     settings = {
-        "number": 0,
-        "relays": 1,
+        "number": number,
+        "relays": relays,
         "zone": "kifisia",
         "listen": {"port": port},
         "service": {
