A drain reads a bounded part of each client and gives the event loop turns

Cause: ClientConnection.drain read a connection until nothing waited on it, and ClientListener.drain did so for all connections in one turn of the event loop.

Change: one call reads at most 256 KiB; the event loop reads the rest as at other times, so nothing is left unread.

--- a/lanelead/postgres_relay/client_connection.py
+++ b/lanelead/postgres_relay/client_connection.py
@@ -28,6 +28,7 @@
 MAX_PENDING_BYTES = 1 << 20  # total size of a connection's pending requests; further requests are rejected
 MAX_RESPONSE_SLOTS = 1024  # pending responses and rejections; one more command is a protocol violation
 MAX_WRITE_BUFFER_BYTES = 1 << 18  # responses that the client has not read; above this the relay reads no requests
+MAX_DRAIN_READ_BYTES = 1 << 18  # read by one call of `drain`; the event loop reads what is left, as at other times
 MAX_DISCARDED_BYTES = 1 << 22  # read and discarded after a protocol violation; then the relay stops reading
 CLOSE_LINGER_SECONDS = 0.25  # from shutdown to close, so that the client can read the last response
 # SQLSTATE codes of rejections. A rejected request never ran, so a retry on another relay is harmless.
@@ -325,12 +326,17 @@
         """Accepts the requests that have arrived and closes the connection once they are answered.
 
         Called when the relay stops. A connection without any request so far stays open for now, since its first
-        request may be on its way.
+        request may be on its way. Reads at most MAX_DRAIN_READ_BYTES, so that a client which sends as fast as it is
+        read cannot hold up the others; requests behind them may be rejected.
         """
         if self.closing:
             return
-        while self._receive() > 0 and not self.closing:
-            pass
+        left = MAX_DRAIN_READ_BYTES
+        while left > 0 and not self.closing:
+            received = self._receive()
+            if received <= 0:
+                break
+            left -= received
         if self.sock.fileno() < 0:
             return
         self.draining = True
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -11,6 +11,7 @@
 import contextlib
 import errno
 import socket
+import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -35,6 +36,8 @@
 OVERDUE_GRACE_SECONDS = 0.2  # after a request's deadline; then a request without a response fails
 NEW_CONNECTION_GRACE_SECONDS = 0.1  # before a connection without a request may be evicted, see `_evict_one`
 MAX_ACCEPTS_PER_TURN = 64
+LISTEN_BACKLOG = 1024
+MAX_TURN_SECONDS = 0.005  # work on many connections in one turn of the event loop, before others get theirs
 MAX_REJECTED_SOCKETS = 8  # that clients may still read from; from RESERVED_DESCRIPTORS of service_parameters.py
 MAX_CACHED_REJECTIONS = 1000
 POLL_INTERVAL_SECONDS = 0.02
@@ -118,7 +121,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
-        sock.listen(1024)
+        sock.listen(LISTEN_BACKLOG)
         self._sock = sock
         self.loop.add_reader(sock, self._accept)
         name = sock.getsockname()
@@ -288,33 +291,48 @@
         """
         self.drain_deadline = self.loop.time() + linger + response_seconds
         await asyncio.sleep(linger)
-        self._stop_listening()
-        for client in list(self.clients):
-            client.drain()
-        self.after_event()
+        await self._stop_listening()
+        await self._for_each_client(ClientConnection.drain)
         await self._wait_until_closed(self.loop.time() + min(CLOSE_LINGER_SECONDS, response_seconds))
-        for client in list(self.clients):
-            client.drain()  # the first request may have arrived meanwhile
-            if not client.has_requested and not client.reader.has_partial_message:
-                client.close_with_rejection(*RELAY_STOPPING_ERROR)
-        self.after_event()
+        await self._for_each_client(self._drain_or_reject)
         await self._wait_until_closed(self.drain_deadline)
+        await self._for_each_client(self._fail_overdue)
+        await self._wait_until_closed(self.loop.time() + 1.2 * CLOSE_LINGER_SECONDS)
+
+    async def _for_each_client(self, action: Callable[[ClientConnection], None]) -> None:
+        """Calls `action` with each open connection; other events are handled after each MAX_TURN_SECONDS."""
+        turn_ends_at = time.monotonic() + MAX_TURN_SECONDS
         for client in list(self.clients):
-            client.fail_requests()
-            if client.reader.has_partial_message:  # the rest of the request did not arrive in time
-                client.close_with_rejection(*RELAY_STOPPING_ERROR)
+            if client in self.clients:  # it may have closed meanwhile
+                action(client)
+            if time.monotonic() >= turn_ends_at:
+                self.after_event()
+                await asyncio.sleep(0)
+                turn_ends_at = time.monotonic() + MAX_TURN_SECONDS
         self.after_event()
-        await self._wait_until_closed(self.loop.time() + 1.2 * CLOSE_LINGER_SECONDS)
 
-    def _stop_listening(self) -> None:
+    @staticmethod
+    def _drain_or_reject(client: ClientConnection) -> None:
+        client.drain()  # the first request may have arrived meanwhile
+        if not client.has_requested and not client.reader.has_partial_message:
+            client.close_with_rejection(*RELAY_STOPPING_ERROR)
+
+    @staticmethod
+    def _fail_overdue(client: ClientConnection) -> None:
+        client.fail_requests()
+        if client.reader.has_partial_message:  # the rest of the request did not arrive in time
+            client.close_with_rejection(*RELAY_STOPPING_ERROR)
+
+    async def _stop_listening(self) -> None:
         """Accepts the connections that wait in the listening socket's queue, then closes that socket.
 
-        The kernel resets those for which there is no descriptor. The loop is bounded, so that clients that keep
-        connecting cannot hold up the drain.
+        The kernel resets those for which there is no descriptor. As many are accepted as the queue may hold, so that
+        clients that keep connecting cannot hold up the drain.
         """
-        for _ in range(self._max_connections):
+        for _ in range(-(-LISTEN_BACKLOG // MAX_ACCEPTS_PER_TURN)):
             if not self._accept():
                 break
+            await asyncio.sleep(0)
         if self._sock is not None:
             self.loop.remove_reader(self._sock)
             self._sock.close()
