An id whose request may have run is refused when it comes again after its client has left

Callers saw: at the relay on the platform a request that must not run twice ran twice when its client left and came again with the same id while an endpoint still ran it.

Cause: the ids of open requests were forgotten when the client disconnected.

Test: test_an_id_that_comes_again_after_its_client_has_left_does_not_run_twice failed before (the second run was begun).

--- a/lanelead/postgres_relay/client_connection.py
+++ b/lanelead/postgres_relay/client_connection.py
@@ -12,7 +12,7 @@
 import socket
 from collections import deque
 
-from lanelead.decisions.interface import RequestClass
+from lanelead.decisions.interface import Idempotency, RequestClass
 from lanelead.pgwire import messages, statements
 from lanelead.pgwire.clients import EncryptionRequest, ProtocolViolation, Query, Startup
 from lanelead.pgwire.statements import Statement
@@ -30,6 +30,10 @@
 CANNOT_CONNECT_NOW = "57P03"
 
 
+def _must_not_run_twice(request_class: RequestClass) -> bool:
+    return request_class.idempotency is Idempotency.NON_IDEMPOTENT
+
+
 class ClientConnection(RequestIntake):
     """A client connection with the requests pending on it and the responses still to be written.
 
@@ -107,6 +111,10 @@
                 raise statements.StatementError("no such class")
             if statement.request_id in listener.open_request_ids:
                 raise statements.StatementError("a request with this id is open")
+            if _must_not_run_twice(request_class) and listener.executed_ids.is_known(
+                statement.request_id, listener.driver.decisions.now
+            ):
+                raise statements.StatementError("a request with this id may have run already")
         except statements.StatementError as error:
             listener.unreadable_statements += 1
             self._queue_response(messages.error("42601", str(error)) + messages.READY)
@@ -139,6 +147,8 @@
         time_left -= int((listener.loop.time() - arrived_at) * 10_000)
         if listener.drain_deadline is not None:
             time_left = min(time_left, int((listener.drain_deadline - listener.loop.time()) * 10_000))
+        if _must_not_run_twice(request_class):
+            listener.executed_ids.add(statement.request_id, listener.driver.decisions.now)
         self.add_slot(ResponseSlot(pending, None, listener.loop.time() + time_left / 10_000, size))
         self._update_held_bytes()
         tenant = listener.tenants.get(statement.tenant) if statement.tenant else None
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -30,6 +30,7 @@
 from lanelead.runtime.abandoned_requests import AbandonedRequests
 from lanelead.runtime.buffer_budget import BufferBudget
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.executed_request_ids import ExecutedRequestIds
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
 from lanelead.runtime.peer_close import PeerCloseMonitor
 from lanelead.runtime.pending_requests import RequestOutcome
@@ -40,6 +41,7 @@
 OVERDUE_GRACE_SECONDS = 0.2  # after a request's deadline; then a request without a response fails
 NEW_CONNECTION_GRACE_SECONDS = 0.1  # before a connection without a request may be evicted, see `_evict_one`
 MAX_ACCEPTS_PER_TURN = 64
+EXECUTED_ID_TIMEOUTS = 2  # for how many of the longest timeouts the id of a request that may have run is remembered
 LISTEN_BACKLOG = 1024
 MAX_REJECTED_SOCKETS = 8  # that clients may still read from; from RESERVED_DESCRIPTORS of service_parameters.py
 MAX_CACHED_REJECTIONS = 1000
@@ -89,6 +91,8 @@
         self.clients: dict[ClientConnection, None] = {}
         self.without_request: dict[ClientConnection, None] = {}  # without a well-formed request, oldest first
         self.open_request_ids: dict[str, None] = {}  # ids of the requests without a response so far
+        longest_timeout = max((request_class.timeout for request_class in driver.request_classes.values()), default=0)
+        self.executed_ids = ExecutedRequestIds(EXECUTED_ID_TIMEOUTS * longest_timeout)
         self.abandoned = AbandonedRequests(loop, driver.client_left, lambda: self.after_event())
         self.buffers = BufferBudget(limits.max_buffered_bytes)
         self.work_queue = FairWorkQueue(loop)
--- a/lanelead/postgres_relay/connection_owner.py
+++ b/lanelead/postgres_relay/connection_owner.py
@@ -11,6 +11,7 @@
 from lanelead.runtime.abandoned_requests import AbandonedRequests
 from lanelead.runtime.buffer_budget import BufferBudget
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.executed_request_ids import ExecutedRequestIds
 from lanelead.runtime.fair_work_queue import FairWorkQueue
 from lanelead.runtime.peer_close import PeerCloseMonitor
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
@@ -28,6 +29,7 @@
     max_query_bytes: int
     response_slack: Ticks
     open_request_ids: dict[str, None]  # ids of the requests without a response so far
+    executed_ids: ExecutedRequestIds
     abandoned: AbandonedRequests
     buffers: BufferBudget
     work_queue: FairWorkQueue
--- a/lanelead/postgres_relay/response_writer.py
+++ b/lanelead/postgres_relay/response_writer.py
@@ -83,6 +83,8 @@
             assert isinstance(result, QueryResult)
             self._set_response(slot, result.raw + messages.READY)
         else:
+            if outcome is RequestOutcome.REJECTED:
+                self.listener.executed_ids.remove(pending.id)
             self._set_response(slot, self.listener.error_response(outcome, retry_after))
         if self.slots[0] is slot:
             self.flush()
