The relay over HTTP bounds its memory, a turn's work and attempts after a close

Callers saw, on the code before (one play of 6 s a form, 470 clients unless stated): 502 to 1,107 MB of memory where 192 are allowed (clients that stopped within 1 MB bodies; 394 MB with heads of short fields); 60 to 92 usual requests without an answer beside heads of short fields; 29,880 and 24,139 attempts over 0.15 s after their client's close, up to 8.1 s (8 and 200 clients that leave); 356 effectful ids run twice (ids that came again after their client had left).

Causes: bodies, heads and responses were bounded for each connection, not in sum, and a head's fields not at all; each turn read and parsed all connections, and accepted one; a client's end of stream was taken for a half close, and was seen only once all that it had sent was served; ids were not remembered.

Change: as at the relay on the platform. A request is handled once all that has arrived is read; no attempt begins 0.04 s after the bytes ahead of a close (attempts in flight still answer a half-closed client); over 256 pipelined requests ahead end the connection with 429; at most 200 headers; the sum of what is held is 32 MB, the slowest are closed first; a client that stops within a request is closed after 2 s; effectful ids that come again get 409. Timers that are due together are worked off in turns of 5 ms at both relays.

Tests: tests/test_http_relay_abuse.py; its plays are the forms that failed above.

--- a/lanelead/http/requests.py
+++ b/lanelead/http/requests.py
@@ -2,7 +2,7 @@
 
 Rejecting them guards against request smuggling. The checks, in the order in which they apply (sections are those of
 RFC 9112 unless stated otherwise):
- 1. The head does not exceed its limit (section 3; status 431: RFC 6585, section 5).
+ 1. The head does not exceed its limits of bytes and of headers (section 3; status 431: RFC 6585, section 5).
  2. The framing is unambiguous: llhttp in strict mode rejects Content-Length together with Transfer-Encoding, repeated
     lengths, bad chunk sizes, obs-fold, bare LF and white space before a colon (2.2, 5.1, 5.2, 6.1 to 6.3, 7.1).
  3. The version is 1.0 or 1.1, a 1.0 request is not chunked (6.1), a 1.1 request has exactly one Host (3.2).
@@ -22,6 +22,8 @@
 
 # How many bytes beyond the head's limit may be fed, since the parser buffers a header until it is complete.
 PARSER_HEAD_SLACK_BYTES = 65536
+MAX_HEADERS = 200  # of a request; each costs far more memory and time than its bytes
+HEADER_BYTES = 160  # counted for each header that is kept, beside its text
 MAX_REASON_CHARACTERS = 120
 UNREADABLE_REQUEST = "a request that cannot be read"
 
@@ -49,6 +51,12 @@
     def __post_init__(self) -> None:
         self.first_values = dict(reversed(self.headers))
 
+    @property
+    def held_bytes(self) -> int:
+        """About how much memory the request takes."""
+        text = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.target) + text + HEADER_BYTES * len(self.headers) + len(self.body)
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of the header `name` (in lower case), or None."""
         return self.first_values.get(name)
@@ -98,8 +106,25 @@
         self._rejection: RejectedRequest | None = None
         self._head_bytes = 0
         self._fed_bytes = 0
+        self._headers: Headers = []
+        self._body = bytearray()
         self.state = State.IDLE
 
+    @property
+    def held_bytes(self) -> int:
+        """About how much memory an incomplete request takes."""
+        if self.state is State.HEAD:
+            return self._fed_bytes + HEADER_BYTES * len(self._headers)
+        if self.state is State.BODY:
+            return self._head_bytes + HEADER_BYTES * len(self._headers) + len(self._body)
+        return 0
+
+    def stop(self) -> None:
+        """Drops an incomplete request and ignores all further bytes."""
+        self.state = State.OVER
+        self._headers = []
+        self._body = bytearray()
+
     def feed(self, data: bytes | bytearray | memoryview) -> list[Event]:
         """Parses received bytes and returns the events that they complete. Does not raise, whatever the bytes are."""
         if self.state is State.OVER or not len(data):
@@ -114,7 +139,7 @@
         self._events = []
         if self._rejection is not None:
             events.append(self._rejection)
-            self.state = State.OVER
+            self.stop()
         return events
 
     def _parse(self, data: bytes | bytearray | memoryview) -> None:
@@ -148,7 +173,7 @@
         """Resets the state at the first byte of a request."""
         self.state = State.HEAD
         self._target = b""
-        self._headers: Headers = []
+        self._headers = []
         self._body = bytearray()
         self._head_bytes = 0
         self._fed_bytes = 0
@@ -164,6 +189,8 @@
         self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + 4
         self._check_head_bound()
+        if len(self._headers) > MAX_HEADERS:
+            self._reject(431, f"a head of over {MAX_HEADERS} headers")
 
     def on_headers_complete(self) -> None:
         """Applies the checks of the module's doc comment to the complete head."""
--- a/lanelead/http_relay/client_connection.py
+++ b/lanelead/http_relay/client_connection.py
@@ -18,9 +18,10 @@
 
 from lanelead.decisions.interface import Attempt, Ticks
 from lanelead.http import serialization
-from lanelead.http.requests import HttpRequest, RejectedRequest, RequestReader, State
+from lanelead.http.requests import Event, HttpRequest, RejectedRequest, State
 from lanelead.http.responses import HttpResponse
 from lanelead.http_relay import response_texts
+from lanelead.http_relay.request_intake import RequestIntake
 from lanelead.http_relay.request_routing import RequestRoutingError
 from lanelead.protocols.feeds import Complaint, MessageError, decode, encode
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
@@ -31,13 +32,15 @@
 RELAY_PATH_PREFIX = b"/.lanelead/"
 COMPLAINT_PATH = b"/.lanelead/complaint"
 STATE_PATH = b"/.lanelead/state"
+MAX_WRITE_BYTES = 65536  # joined for one write, unless a single response is longer
+SLOT_BYTES = 512  # counted for each response that is due, beside its request and its text
 LINGER_SECONDS = 0.5  # time for a client to read the last response before the connection is closed
 
 
 class ResponseSlot:
     """A request's position in the order of responses."""
 
-    __slots__ = ("close", "data", "deadline", "deferred", "pending", "request")
+    __slots__ = ("close", "data", "deadline", "deferred", "pending", "request", "size")
 
     def __init__(self, request: HttpRequest | None) -> None:
         self.request = request
@@ -46,10 +49,11 @@
         self.deadline: Ticks = 0
         self.deferred: Callable[[], None] | None = None  # passes a deferred request to the driver
         self.close = False  # whether the connection is closed after this response
+        self.size = SLOT_BYTES + (0 if request is None else request.held_bytes)
 
 
-class ClientConnection:
-    """The connection of one client. One task reads requests; `flush` writes the responses, one write at a time.
+class ClientConnection(RequestIntake):
+    """The connection of one client. Requests are handled a few at a time; `flush` writes the responses.
 
     The connection is closed when reading has ended and no response is due. Reading ends when the client closes or
     resets the connection, on `abort`, or LINGER_SECONDS after a response that closes the connection
@@ -57,73 +61,65 @@
     """
 
     def __init__(self, listener: ClientListener, sock: socket.socket, address: str) -> None:
-        self._listener = listener
-        self._sock = sock
-        self._loop = listener.loop
-        self._reader = RequestReader(listener.quota.head_bytes, listener.quota.body_bytes)
+        super().__init__(listener, sock)
         self._tenant_by_address = listener.router.tenant_at(address)
         self.slots: deque[ResponseSlot] = deque()
-        self._slot_freed = asyncio.Event()
-        self._reading = True  # whether the reading task still runs
-        self._closing = False  # whether further requests are ignored
+        self._slot_bytes = 0  # of the requests and responses in `slots`
+        self._unwritten_bytes = 0  # of responses that are being written
         self._linger: asyncio.TimerHandle | None = None
-        self.last_activity_at = listener.loop.time()  # when bytes were last received or sent
         self._writing = False
-        listener.start_task(self._read())
 
     @property
     def is_idle(self) -> bool:
         """Whether no response is due or being written."""
         return not self.slots and not self._writing
 
+    @property
+    def has_due_response(self) -> bool:
+        """Whether a response is due or being written, also one to a request that is not handled yet."""
+        return bool(self.slots or self._writing or self._inbox)
+
+    @property
+    def is_mid_request(self) -> bool:
+        """Whether a request has arrived in part, and no response is due."""
+        return not self.slots and self._reader.state in (State.HEAD, State.BODY)
+
     @property
     def waits_for_client(self) -> bool:
-        """Whether the client has to read a response or, if none is due, to send the rest of a request."""
-        return self._writing or (not self.slots and self._reader.state in (State.HEAD, State.BODY))
+        """Whether the client has to read a response or to send the rest of a request, or has sent far ahead."""
+        is_ahead = len(self._inbox) > self._listener.quota.pipelined
+        return self._writing or is_ahead or self._reader.state in (State.HEAD, State.BODY)
 
-    # Reading
+    def _update_held_bytes(self) -> None:
+        held = 0
+        if self._sock.fileno() >= 0:
+            held = self._reader.held_bytes + self._inbox_bytes + self._slot_bytes + self._unwritten_bytes
+        self._listener.buffers.update(self, held)
 
-    async def _read(self) -> None:
-        listener = self._listener
-        buffer = listener.take_buffer()
-        view = memoryview(buffer)
-        max_pipelined = listener.quota.pipelined  # checked before each read, so the requests of one read may exceed it
-        try:
-            while True:
-                while not self._closing and len(self.slots) >= max_pipelined:
-                    self._slot_freed.clear()
-                    await self._slot_freed.wait()
-                size = await self._loop.sock_recv_into(self._sock, buffer)
-                if size == 0:  # half closed: pending requests still get their responses
-                    break
-                if self._closing:  # discards what comes after the last request that gets a response
-                    continue
-                self.last_activity_at = self._loop.time()
-                for event in self._reader.feed(view[:size]):
-                    if isinstance(event, HttpRequest):
-                        self._request_received(event)
-                    elif isinstance(event, RejectedRequest):
-                        listener.request_rejected(event.status, event.reason)
-                        self._respond(self._add_slot(None), event.status, event.reason, close=True)
-                    elif self.is_idle and not self._closing:  # ContinueExpected; not sent ahead of a due response
-                        await self._loop.sock_sendall(self._sock, serialization.CONTINUE)
-                listener.after_event()
-        except OSError:  # the client reset the connection, so no response is due
-            self._client_disconnected()
-        finally:
-            view.release()
-            listener.return_buffer(buffer)
-            self._reading = False
-            self._close_if_finished()
+    # Requests
+
+    def _has_room(self) -> bool:
+        return len(self.slots) < self._listener.quota.pipelined
+
+    def _handle_event(self, event: Event) -> None:
+        if self._closing:
+            return
+        if isinstance(event, HttpRequest):
+            self._request_received(event)
+        elif isinstance(event, RejectedRequest):
+            self._listener.request_rejected(event.status, event.reason)
+            self._respond(self._add_slot(None), event.status, event.reason, close=True)
+        elif self.is_idle:  # ContinueExpected; not sent ahead of a due response
+            with contextlib.suppress(OSError):
+                self._sock.send(serialization.CONTINUE)
 
     def _add_slot(self, request: HttpRequest | None) -> ResponseSlot:
         slot = ResponseSlot(request)
         self.slots.append(slot)
+        self._slot_bytes += slot.size
         return slot
 
     def _request_received(self, request: HttpRequest) -> None:
-        if self._closing:
-            return
         slot = self._add_slot(request)
         if not request.keep or self._listener.draining:
             slot.close = True
@@ -131,6 +127,9 @@
         if request.target.startswith(RELAY_PATH_PREFIX):
             self._handle_relay_path(slot, request)
             return
+        if self._listener.buffers.is_exceeded:
+            self._set_response(slot, response_texts.no_room(not slot.close))
+            return
         try:
             self._pass_to_driver(slot, request)
         except RequestRoutingError as error:
@@ -143,7 +142,9 @@
         request_class = router.request_class(request)
         time_left = router.time_left(request, request_class)
         router.check_idempotency_key(request, request_class)
-        pending = PendingRequest(router.request_id(request), request, self._on_reply)
+        request_id = router.request_id(request)
+        listener.note_execution(request_id, request_class)
+        pending = PendingRequest(request_id, request, self._on_reply)
         slot.pending = pending
         tenant = router.tenant(request, self._tenant_by_address)
         key = router.key(request)
@@ -210,6 +211,7 @@
             name = self._listener.driver.registry.names[attempt.endpoint]
             data = response_texts.succeeded(pending, attempt, response, name, keep)
         elif outcome is RequestOutcome.REJECTED:
+            self._listener.executed_ids.remove(pending.id)
             data = response_texts.rejected(pending, retry_after, keep)
         else:
             data = response_texts.failed(pending, keep)
@@ -219,6 +221,9 @@
         if slot.data is not None:
             return
         slot.data = data
+        slot.size += len(data)
+        self._slot_bytes += len(data)
+        self._update_held_bytes()
         if not self._writing and self.slots and self.slots[0] is slot:
             self._listener.writable[self] = None
 
@@ -231,32 +236,42 @@
         try:
             while slots and slots[0].data is not None:
                 parts, last = self._pop_ready_responses()
+                self._unwritten_bytes = sum(len(part) for part in parts)
                 await self._loop.sock_sendall(self._sock, parts[0] if len(parts) == 1 else b"".join(parts))
+                self._unwritten_bytes = 0
                 self.last_activity_at = self._loop.time()
+                self._update_held_bytes()
                 if last:
                     self._closing = True
                     break
                 if slots:
                     self._pass_deferred_to_driver()
-                self._slot_freed.set()
         except OSError:
             self._client_disconnected()
         finally:
             self._writing = False
+            self._unwritten_bytes = 0
             self._close_if_finished()
+            self._update_held_bytes()
+            if self._inbox:
+                self._schedule()
 
     def _pop_ready_responses(self) -> tuple[list[bytes], bool]:
-        """Removes the ready responses at the front, up to the first one that closes the connection.
+        """Removes ready responses at the front, up to the first one that closes the connection or MAX_WRITE_BYTES.
 
         Returns them, and whether the last one closes the connection.
         """
         parts: list[bytes] = []
-        while self.slots:
+        size = 0
+        while self.slots and size < MAX_WRITE_BYTES:
             data = self.slots[0].data
             if data is None:
                 break
+            size += len(data)
             parts.append(data)
-            if self.slots.popleft().close:
+            slot = self.slots.popleft()
+            self._slot_bytes -= slot.size
+            if slot.close:
                 return parts, True
         return parts, False
 
@@ -277,23 +292,46 @@
 
     def _client_disconnected(self) -> None:
         self._closing = True
+        self._clear_inbox()
         slots = list(self.slots)
         self.slots = deque()
-        for slot in slots:
-            if slot.pending is not None:
-                self._listener.driver.client_left(slot.pending)
-        self._slot_freed.set()
-        self._listener.after_event()
+        self._slot_bytes = 0
+        self._listener.abandoned.add(slot.pending for slot in slots if slot.pending is not None)
+        self._update_held_bytes()
+
+    def _forbid_attempts(self) -> None:
+        for slot in self.slots:
+            if slot.pending is not None and slot.data is None:
+                slot.pending.accepts_attempts = False
+                if slot.deferred is not None:
+                    slot.deferred = None
+                    self._listener.executed_ids.remove(slot.pending.id)
+                    self._set_response(slot, response_texts.no_room(not slot.close))
+
+    def close_for_room(self) -> None:
+        """Closes a connection whose client is slow, since the relay holds too many bytes for its clients."""
+        if self._writing:
+            self.abort()
+            return
+        self._reader.stop()
+        self._clear_inbox()
+        slot = self._add_slot(None)
+        slot.close = True
+        self._closing = True
+        self._set_response(slot, response_texts.no_room(keep=False))
 
     def _close_if_finished(self) -> None:
         """Closes the socket once reading has ended and no response is due; begins to linger after the last response."""
-        if self.slots or self._writing:
+        if self.slots or self._writing or self._inbox or self._sock.fileno() < 0:
             return
         if not self._reading:
             if self._linger is not None:
                 self._linger.cancel()
+            self._listener.close_monitor.unwatch(self._sock)
+            self._listener.work_queue.forget(self._work_share)
             self._sock.close()
             self._listener.connection_closed(self)
+            self._update_held_bytes()
         elif self._closing and self._linger is None:
             # For a short time, received bytes are read and discarded: closing the socket while the client still sends
             # would reset the connection, and the response just written could be lost (RFC 9112, section 9.6).
@@ -302,7 +340,10 @@
             self._linger = self._loop.call_later(LINGER_SECONDS, self.abort)
 
     def abort(self) -> None:
-        """Drops all due responses and shuts the socket down, so that the pending read or write ends and closes it."""
+        """Drops all due responses and closes the socket, once a pending write has ended."""
+        if self._sock.fileno() < 0:
+            return
+        self._stop_reading()
         self._client_disconnected()
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -7,20 +7,27 @@
 import errno
 import resource
 import socket
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+import time
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from lanelead.decisions.interface import Attempt, Tenant, Ticks
+from lanelead.decisions.interface import Attempt, Idempotency, RequestClass, Tenant, Ticks
 from lanelead.http_relay.client_connection import ClientConnection
-from lanelead.http_relay.request_routing import RequestRouter
+from lanelead.http_relay.request_routing import RequestRouter, RequestRoutingError
 from lanelead.http_relay.response_texts import TOO_MANY_CONNECTIONS
-from lanelead.runtime.background_tasks import BackgroundTasks
+from lanelead.runtime.abandoned_requests import AbandonedRequests
+from lanelead.runtime.buffer_budget import BufferBudget
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.executed_request_ids import ExecutedRequestIds
+from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
+from lanelead.runtime.peer_close import PeerCloseMonitor
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 from lanelead.settings.service_settings import ServiceSettings
 
-BUFFER_BYTES = 8192  # maximum size of one read
-MAX_SPARE_BUFFERS = 256
+MAX_BUFFERED_BYTES = 32_000_000  # held for all clients together, of the 192 MB that a relay may use
+SILENCE_TIMEOUT_SECONDS = 2.0  # without a byte of the rest of a request
+HEAD_TIMEOUT_SECONDS = 10.0  # for a head to arrive completely
+EXECUTED_ID_TIMEOUTS = 2  # for how many of the longest timeouts the id of a request that may have run is remembered
 RESERVED_DESCRIPTORS = 32  # file descriptors for the listening socket, feeds, votes, the log and the interpreter
 MAX_BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.1
@@ -55,12 +62,15 @@
         self.quota = service.allowance
         self.router = RequestRouter(service, driver, tenants)
         self.connections: dict[ClientConnection, None] = {}
-        self._spare_buffers: list[bytearray] = []
+        longest_timeout = max((row.timeout for row in driver.request_classes.values()), default=0)
+        self.executed_ids = ExecutedRequestIds(EXECUTED_ID_TIMEOUTS * longest_timeout)
+        self.abandoned = AbandonedRequests(loop, driver.client_left, lambda: self.after_event())
+        self.buffers = BufferBudget(MAX_BUFFERED_BYTES)
+        self.work_queue = FairWorkQueue(loop)
+        self.close_monitor = PeerCloseMonitor(loop)
         self.draining = False
         self._sock: socket.socket | None = None
-        self._accept_task: asyncio.Task[None] | None = None
         self.writable: dict[ClientConnection, None] = {}  # connections whose next response can be written
-        self._background_tasks = BackgroundTasks(loop, log, "client connection task failed")
         self.after_event: Callable[[], None] = lambda: None
         self._idle_limit_seconds = service.allowance.idle_limit_ms / 1000
         self._max_connections = self._connection_limit()
@@ -90,44 +100,59 @@
         sock.bind((host, port))
         sock.listen(min(MAX_BACKLOG, self._max_connections))
         self._sock = sock
-        self._accept_task = self.loop.create_task(self._accept(sock))
+        self.loop.add_reader(sock, self._accept)
         name = sock.getsockname()
         return str(name[0]), int(name[1])
 
-    async def _accept(self, sock: socket.socket) -> None:
-        while True:
+    def _accept(self) -> None:
+        """Accepts connections that wait, for a bounded time."""
+        ends_at = time.monotonic() + MAX_TURN_SECONDS
+        while self._sock is not None:
             try:
-                client, address = await self.loop.sock_accept(sock)
+                client, address = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
             except OSError as error:
                 if error.errno not in TRANSIENT_ACCEPT_ERRORS:
                     raise
                 # Guards against running out of descriptors: connected clients are still served, new ones wait.
                 self._log.warning("cannot accept", reason=str(error))
-                await asyncio.sleep(ACCEPT_RETRY_SECONDS)
-                continue
-            if len(self.connections) >= self._max_connections:
-                with contextlib.suppress(OSError):
-                    client.send(TOO_MANY_CONNECTIONS)
-                client.close()
-                continue
-            client.setblocking(False)
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections[ClientConnection(self, client, address[0])] = None
+                self._pause_accepting()
+                return
+            self._admit(client, address[0])
+            if time.monotonic() >= ends_at:
+                return
+
+    def _admit(self, client: socket.socket, address: str) -> None:
+        client.setblocking(False)
+        if len(self.connections) >= self._max_connections:
+            with contextlib.suppress(OSError):
+                client.send(TOO_MANY_CONNECTIONS)
+            client.close()
+            return
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connections[ClientConnection(self, client, address)] = None
 
-    # Called by connections
+    def _pause_accepting(self) -> None:
+        """Stops accepting for ACCEPT_RETRY_SECONDS: the event loop would call `_accept` again at once."""
+        assert self._sock is not None
+        self.loop.remove_reader(self._sock)
+        self.loop.call_later(ACCEPT_RETRY_SECONDS, self._resume_accepting)
 
-    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a task of a connection. An unexpected exception in it is logged and affects no other connection."""
-        self._background_tasks.start(work)
+    def _resume_accepting(self) -> None:
+        if self._sock is not None:
+            self.loop.add_reader(self._sock, self._accept)
 
-    def take_buffer(self) -> bytearray:
-        """Returns a buffer to read into, to be given back with `return_buffer`."""
-        return self._spare_buffers.pop() if self._spare_buffers else bytearray(BUFFER_BYTES)
+    # Called by connections
 
-    def return_buffer(self, buffer: bytearray) -> None:
-        """Keeps a buffer for the next connection; at most MAX_SPARE_BUFFERS are kept."""
-        if len(self._spare_buffers) < MAX_SPARE_BUFFERS:
-            self._spare_buffers.append(buffer)
+    def note_execution(self, request_id: str, request_class: RequestClass) -> None:
+        """Remembers the id of a request that must not run twice; raises RequestRoutingError if it comes again."""
+        if request_class.idempotency is not Idempotency.NON_IDEMPOTENT:
+            return
+        now = self.clock()
+        if self.executed_ids.is_known(request_id, now):
+            raise RequestRoutingError(409, "a request with this id may have run already")
+        self.executed_ids.add(request_id, now)
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Removes a connection whose socket is closed."""
@@ -158,26 +183,31 @@
     # Called by the service
 
     def sweep(self) -> None:
-        """Aborts connections that wait for their client and have not moved a byte for the idle limit."""
-        oldest = self.loop.time() - self._idle_limit_seconds
+        """Aborts connections that wait for their client and have not moved a byte for too long.
+
+        A client that has stopped within a request is given SILENCE_TIMEOUT_SECONDS, or the idle limit if that is
+        shorter; a client that does not read its responses is given the idle limit.
+        """
+        now = self.loop.time()
+        silence = min(SILENCE_TIMEOUT_SECONDS, self._idle_limit_seconds)
         for connection in list(self.connections):
-            if connection.last_activity_at < oldest and connection.waits_for_client:
+            limit = silence if connection.is_mid_request else self._idle_limit_seconds
+            is_silent = connection.last_activity_at < now - limit and connection.waits_for_client
+            if is_silent or connection.head_began_at < now - HEAD_TIMEOUT_SECONDS:
                 connection.abort()
 
     async def drain(self, limit_seconds: float) -> None:
         """Stops accepting clients, waits up to `limit_seconds` for due responses, then closes all connections."""
         self.draining = True
-        if self._accept_task is not None:
-            self._accept_task.cancel()
-            await asyncio.gather(self._accept_task, return_exceptions=True)
         if self._sock is not None:
+            self.loop.remove_reader(self._sock)
             self._sock.close()
+            self._sock = None
         end = self.loop.time() + limit_seconds
         while self._any_response_due() and self.loop.time() < end:  # noqa: ASYNC110 - no event is set at the end of a request
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         for connection in list(self.connections):
             connection.abort()
-        await self._background_tasks.wait_all()
 
     def _any_response_due(self) -> bool:
-        return any(not connection.is_idle for connection in self.connections)
+        return any(connection.has_due_response for connection in self.connections)
--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -27,7 +27,7 @@
 
 DecisionWrapper = Callable[[Decisions], Decisions]  # for tests only: wraps the decisions that the driver calls
 
-SWEEP_INTERVAL_SECONDS = 1.0
+SWEEP_INTERVAL_SECONDS = 0.25
 DRAIN_SLACK_SECONDS = 1.0  # beyond the longest deadline of a request
 RESPONSE_HEAD_BYTES = 65536  # allowance for the head of an endpoint's response
 RESPONSE_BODY_FACTOR = 4  # maximum size of an endpoint's response body, relative to that of a request body
--- a/lanelead/postgres_relay/client_connection.py
+++ b/lanelead/postgres_relay/client_connection.py
@@ -62,8 +62,8 @@
 
     @property
     def waits_for_client(self) -> bool:
-        """Whether the client has to read a response or to send the rest of a message."""
-        return bool(self.write_buffer) or self.reader.has_partial_message
+        """Whether the client has to read a response or to send the rest of a message, or has sent far ahead."""
+        return bool(self.write_buffer) or self.reader.has_partial_message or len(self.inbox) > 1
 
     def _update_held_bytes(self) -> None:
         held = 0
--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -144,7 +144,7 @@
                 self.reader.finished = True
                 received = ProtocolViolation("54000", f"more than {MAX_RESPONSE_SLOTS} commands wait for their answers")
                 size = 0
-            elif self.inbox_bytes and self.inbox_bytes + size > MAX_INBOX_BYTES:
+            elif self.inbox_bytes and (self.inbox_bytes + size > MAX_INBOX_BYTES or self.listener.buffers.is_exceeded):
                 received = OverLimit()
                 size = 0
         self.inbox.append(ReceivedCommand(received, self.last_activity, size))
--- a/lanelead/runtime/buffer_budget.py
+++ b/lanelead/runtime/buffer_budget.py
@@ -8,6 +8,7 @@
 
 from typing import Protocol
 
+SEARCH_STEP_SHARE = 0.01  # of the bound: by how much the sum has to grow after a search in vain
 SMALL_HOLDERS = 1024  # that many connections which hold less than this part of the bound are not worth closing
 
 
@@ -32,6 +33,7 @@
         self.held_bytes = 0
         self.peak_bytes = 0
         self.closed_connections = 0  # to make room
+        self._next_search_bytes = 0.0  # after a search in vain, the sum at which it is worth to search again
         self._holders: dict[Holder, int] = {}  # the bytes of each, in the order in which they began to hold any
 
     @property
@@ -49,7 +51,9 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-        if self.is_exceeded and held_bytes > previous:
+        if not self.is_exceeded:
+            self._next_search_bytes = 0.0
+        elif held_bytes > previous and self.held_bytes >= self._next_search_bytes:
             self._make_room()
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
@@ -61,3 +65,5 @@
             if held_bytes > least and holder in self._holders and holder.waits_for_client:
                 self.closed_connections += 1
                 holder.close_for_room()
+        if self.is_exceeded:
+            self._next_search_bytes = self.held_bytes + SEARCH_STEP_SHARE * self.max_bytes
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -50,6 +50,8 @@
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 from lanelead.runtime.timer_queue import TimerQueue
 
+MAX_TICK_TICKS: Ticks = 50  # 5 ms: thousands of timers that are due together must not hold up other events
+
 
 class DecisionDriver:
     """Passes a host's events to the decisions and carries out the resulting actions.
@@ -313,14 +315,14 @@
     # Time
 
     def tick(self) -> None:
-        """Handles all timers that are due.
+        """Handles the timers that are due; after MAX_TICK_TICKS on the clock, the rest is left to the next call.
 
         A timer of an attempt that still runs stops the attempt as timed out. Timers of unfinished requests, and those
         of the decisions' periodic work (target None), are passed to the decisions.
         """
         now = self._advance_clock()
         heap = self._timers.heap
-        while heap and heap[0][0] <= now:
+        while heap and heap[0][0] <= now and self._clock() <= now + MAX_TICK_TICKS:
             target = heappop(heap)[2]
             if isinstance(target, Attempt):
                 if target.outcome is None:
--- a/tests/abuse/forms.py
+++ b/tests/abuse/forms.py
@@ -131,6 +131,7 @@
     "half of a large request, 700 clients": Form(_large, 700, stops_at=0.9, reconnects=True),
     "large answers that are not read": Form(_large_answers, CROWD, reads=False),
     "large requests at full speed": Form(_large, 60),
+    "large requests at full speed, a crowd": Form(_large, CROWD),
     "heads of short fields": Form(_fields(True), CROWD, opens=False),
     "heads of short fields without an end": Form(_fields(False), CROWD, opens=False, repeats=1),
     "heads of short fields in pieces": Form(_fields(True), CROWD, opens=False, piece_bytes=500, pause_seconds=0.05),
@@ -151,6 +152,7 @@
     "noise, connects anew": Form(_noise, reconnects=True),
     "small requests that are not answered": Form(_small, reads=False),
     "large requests of no class": Form(_large_unknown_class, 60),
+    "large requests of no class, a crowd": Form(_large_unknown_class, CROWD),
 }
 # Picture (c): clients that leave with much unread.
 LEAVING_FORMS = {
--- /dev/null
+++ b/tests/test_http_relay_abuse.py
@@ -0,0 +1,164 @@
+"""The HTTP relay beside clients that are slow, send at full speed, or leave."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from lanelead.http_relay import client_listener, request_intake
+from tests.abuse.player import play
+from tests.abuse.requests import RelayKind
+from tests.abuse.surroundings import MEMORY_LIMIT_MB
+from tests.abuse.usual_clients import Answer
+from tests.http_relay_environment import (
+    Client,
+    ScriptedEndpoint,
+    relay_environment,
+    reset_connections,
+    respond_with,
+    run_on_uvloop,
+    state_of,
+)
+
+REQUEST = b"GET /x HTTP/1.1\r\nhost: relay\r\n\r\n"
+
+
+class BesideAbuse(unittest.TestCase):
+    @run_on_uvloop
+    async def test_memory_stays_within_the_limit_beside_700_clients_that_stop_half_way(self) -> None:
+        # Guards against memory that grows with the number of slow clients: 763 MB where 192 are allowed.
+        measured = await play(RelayKind.HTTP, "half of a large request, 700 clients", 4.0)
+        self.assertTrue(measured.running)
+        self.assertLess(measured.peak_memory_mb, MEMORY_LIMIT_MB, measured.line())
+        self.assertEqual(measured.usual.counts[Answer.NEVER], 0, measured.line())
+
+    @run_on_uvloop
+    async def test_usual_clients_are_answered_beside_heads_of_very_many_fields(self) -> None:
+        # Guards against heads whose fields cost far more time and memory than their bytes.
+        measured = await play(RelayKind.HTTP, "heads of short fields in pieces", 3.0)
+        self.assertLess(measured.peak_memory_mb, MEMORY_LIMIT_MB, measured.line())
+        self.assertEqual(measured.usual.counts[Answer.NEVER], 0, measured.line())
+
+    @run_on_uvloop
+    async def test_nothing_is_sent_for_clients_that_have_left_with_much_unread(self) -> None:
+        # Guards against requests that are read, and sent on, only after their clients have gone.
+        measured = await play(RelayKind.HTTP, "leaves at once, small requests", 3.0)
+        self.assertEqual(measured.sent_after_close, [], measured.line())
+        self.assertEqual(measured.usual.counts[Answer.NEVER], 0, measured.line())
+
+
+class ClosedClients(unittest.TestCase):
+    @run_on_uvloop
+    async def test_no_second_copy_is_sent_for_a_client_that_has_closed(self) -> None:
+        # Guards against hedges and retries for nobody (review/10).
+        endpoints = [ScriptedEndpoint(name, respond_with(wait=1.2)) for name in ("u", "v")]
+        async with relay_environment(*endpoints) as env:
+            for _ in range(3):
+                client = await Client.to(env)
+                client.send("GET", "/x")
+                client.writer.close()
+            await asyncio.sleep(1)  # second copies are due after 0.4 s
+            self.assertLessEqual(sum(len(endpoint.requests) for endpoint in endpoints), 3)
+
+    @run_on_uvloop
+    async def test_a_half_closed_client_gets_no_retry_but_an_answer(self) -> None:
+        # Guards against a further attempt after the close, and against a client that waits for nothing.
+        endpoints = [ScriptedEndpoint(name, reset_connections) for name in ("u", "v")]
+        async with relay_environment(*endpoints) as env:
+            client = await Client.to(env)
+            client.send("GET", "/x")
+            while not any(endpoint.requests for endpoint in endpoints):
+                await asyncio.sleep(0)
+            client.writer.write_eof()
+            self.assertIn((await client.read_response())[0], (502, 503))
+            self.assertEqual(await client.read_to_end(), b"")
+
+    @run_on_uvloop
+    async def test_an_effectful_id_that_comes_again_after_its_client_has_left_is_refused(self) -> None:
+        # Guards against a request that runs twice, once for each of its clients' connections.
+        endpoint = ScriptedEndpoint("u", respond_with(wait=0.3))
+        async with relay_environment(endpoint) as env:
+            first = await Client.to(env)
+            first.send("POST", "/x", b"b", x_request_id="once")
+            while not endpoint.requests:
+                await asyncio.sleep(0.01)
+            first.reset()
+            again = await Client.to(env)
+            self.assertEqual((await again.ask("POST", "/x", b"b", x_request_id="once"))[0], 409)
+            self.assertEqual((await again.ask("POST", "/x", b"b", x_request_id="other"))[0], 200)
+            self.assertEqual(len(endpoint.requests), 2)
+
+
+class Limits(unittest.TestCase):
+    @run_on_uvloop
+    async def test_a_head_of_too_many_fields_is_rejected(self) -> None:
+        async with relay_environment(ScriptedEndpoint("u", respond_with())) as env:
+            client = await Client.to(env)
+            client.writer.write(b"GET /x HTTP/1.1\r\nhost: relay\r\n" + b"a:\r\n" * 3000 + b"\r\n")
+            self.assertEqual((await client.read_response())[0], 431)
+
+    @run_on_uvloop
+    async def test_far_too_many_pipelined_requests_end_the_connection_after_the_answers_due(self) -> None:
+        # Guards against requests without number that wait for their turn, and against a close without a word.
+        endpoint = ScriptedEndpoint("u", respond_with(b"ok\n", wait=0.1))
+        async with relay_environment(endpoint) as env:
+            client = await Client.to(env)
+            client.writer.write(REQUEST * (2 * request_intake.MAX_INBOX_REQUESTS))
+            statuses = [200]
+            while statuses[-1] == 200:
+                statuses.append((await client.read_response())[0])
+            self.assertEqual(statuses[-1], 429)
+            self.assertEqual(await client.read_to_end(), b"")
+            self.assertEqual((await (await Client.to(env)).ask("GET", "/x"))[0], 200)
+
+    @run_on_uvloop
+    async def test_pipelined_requests_over_the_limit_at_once_are_all_served_in_order(self) -> None:
+        async with relay_environment(ScriptedEndpoint("u", respond_with(b"ok\n"))) as env:
+            client = await Client.to(env)
+            for number in range(60):
+                client.send("GET", "/x", x_request_id=f"id-{number}")
+            for number in range(60):
+                status, fields, _ = await client.read_response()
+                self.assertEqual((status, fields["x-request-id"]), (200, f"id-{number}"))
+
+    @run_on_uvloop
+    async def test_a_client_that_stops_within_a_request_is_closed_within_3_seconds(self) -> None:
+        # Guards against a place that is held for the whole idle limit.
+        async with relay_environment(ScriptedEndpoint("u", respond_with())) as env:
+            env.relay.listener._idle_limit_seconds = 60.0
+            clients = [await Client.to(env) for _ in range(2)]
+            clients[0].writer.write(REQUEST[:-10])
+            clients[1].writer.write(b"POST /x HTTP/1.1\r\nhost: relay\r\ncontent-length: 9\r\n\r\nhalf")
+            async with asyncio.timeout(3.0):
+                for client in clients:
+                    self.assertEqual(await client.read_to_end(), b"")
+
+    @run_on_uvloop
+    async def test_the_slowest_clients_are_closed_when_too_much_is_held(self) -> None:
+        async with relay_environment(ScriptedEndpoint("u", respond_with())) as env:
+            budget = env.relay.listener.buffers
+            budget.max_bytes = 1_000_000
+            slow = [await Client.to(env) for _ in range(8)]
+            for client in slow:
+                client.writer.write(
+                    b"POST /x HTTP/1.1\r\nhost: relay\r\ncontent-length: 400000\r\n\r\n" + bytes(300_000)
+                )
+            self.assertEqual((await slow[0].read_response())[0], 503)
+            self.assertLessEqual(budget.peak_bytes, 1_100_000)
+            self.assertEqual((await (await Client.to(env)).ask("GET", "/x"))[0], 200)
+            for client in slow:
+                client.reset()
+            while budget.held_bytes:
+                await asyncio.sleep(0.01)
+
+    @run_on_uvloop
+    async def test_accepting_goes_on_after_a_want_of_descriptors(self) -> None:
+        async with relay_environment(ScriptedEndpoint("u", respond_with())) as env:
+            listener = env.relay.listener
+            listener._pause_accepting()
+            client = await Client.to(env)
+            began = asyncio.get_running_loop().time()
+            self.assertEqual((await client.ask("GET", "/x"))[0], 200)
+            waited = asyncio.get_running_loop().time() - began
+            self.assertGreater(waited, client_listener.ACCEPT_RETRY_SECONDS / 2)
+            self.assertEqual(state_of(env)["clients"], 1)
