A large file is read in a thread at SIGHUP, so that requests are served meanwhile

Callers saw: with 49,000 tenants in the file, no request was handled for 1.33 to 1.40 s after each SIGHUP.

Cause: the file was read, checked and compared with the old one in one turn of the event loop (0.73 to 0.77 s of it in load).

--- a/lanelead/postgres_relay/service.py
+++ b/lanelead/postgres_relay/service.py
@@ -21,18 +21,16 @@
     CLASSES_SETTING,
     TENANTS_SETTING,
     AppliedConfiguration,
-    changed_entries,
-    classes_without_values,
     entries_of_settings,
 )
 from lanelead.postgres_relay.client_listener import ClientListener, ListenerLimits
-from lanelead.postgres_relay.config import ConfigurationSources, RelayConfig, load
+from lanelead.postgres_relay.config import ConfigurationSources, RelayConfig
 from lanelead.postgres_relay.discovery_client import DiscoveryClient, ListState
 from lanelead.postgres_relay.endpoint_list_decoder import EndpointListDecoder
 from lanelead.postgres_relay.event_loop_monitor import EventLoopMonitor
 from lanelead.postgres_relay.feed_handover import FeedHandover
 from lanelead.postgres_relay.gossip_transport import GossipTransport
-from lanelead.postgres_relay.reloading import ignored_until_restart
+from lanelead.postgres_relay.reloading import FileReloader, Reload, ignored_until_restart, read_again
 from lanelead.postgres_relay.rollout_client import RolloutClient
 from lanelead.postgres_relay.service_parameters import MAX_VALUE_BYTES, ServiceParameters
 from lanelead.postgres_relay.state_document import client_counts, request_counts, upstream_counts
@@ -69,6 +67,9 @@
         self._config = config
         self._stop = asyncio.Event()
         self._ended = False
+        self._reloader = FileReloader(
+            path, self._read_again, self._apply_reload, self._background_tasks.start, self._log
+        )
         self._rng = Random(f"feeds {config.seed}")
         self._endpoints_known = asyncio.Event()
         self._event_loop_monitor = EventLoopMonitor()
@@ -337,50 +338,36 @@
         `load` rejects changes nothing. Other changed settings and fields of `reloading.RESTART_FIELDS` are logged as
         ignored until a restart; other parts of the file, such as `configuration`, are ignored without a log line.
         """
-        if self._ended:
-            return
-        try:
-            config = load(self._path)
-        except MessageError as error:
-            self._log.error(
-                "configuration not reloaded: the old one stays in force",
+        if not self._ended:
+            self._reloader.request()
+
+    def _read_again(self) -> Reload:
+        # A relay that follows a configuration takes tenants and class values from there instead of its file.
+        return read_again(self._path, self._config, with_values=self._configuration_client is None)
+
+    def _apply_reload(self, reload: Reload) -> None:
+        """Applies a file's changed tenants and class values; where one is invalid, the last good value stays."""
+        old = self._config
+        config = reload.config
+        for error in reload.errors[:MAX_LOGGED_ERRORS]:
+            self._log.warning(
+                "invalid value in the file",
                 reason=str(error),
-                remedy="correct the file and send SIGHUP again",
+                remedy="correct the file and send SIGHUP again; the last good value stays in force",
             )
-            return
-        old = self._config
-        # A relay that follows a configuration takes tenants and class values from there instead of its file.
-        applied = self._apply_file_values(config) if self._configuration_client is None else []
+        if reload.keys:
+            self._apply_configuration(reload.keys, reload.values)
+        if reload.applied:
+            applied = {name: config.settings.get(name) for name in (TENANTS_SETTING, CLASSES_SETTING)}
+            self._config = replace(old, settings={**old.settings, **applied})
         self._log.info(
             "configuration reloaded",
             discovery=config.discovery,
             rollout=config.platform.address,
-            ignored_until_restart=ignored_until_restart(old, config, applied),
+            ignored_until_restart=ignored_until_restart(old, config, reload.applied),
         )
         self._start_feeds(config)
 
-    def _apply_file_values(self, config: RelayConfig) -> list[str]:
-        """Applies the file's changed tenants and class values; an invalid value is logged, and the last good one stays.
-
-        Returns the names of the settings whose changes need no restart.
-        """
-        old = self._config.settings
-        new = config.settings
-        keys, values, errors = changed_entries(old, new)
-        for error in errors[:MAX_LOGGED_ERRORS]:
-            self._log.warning(
-                "invalid value in the file",
-                reason=str(error),
-                remedy="correct the file and send SIGHUP again; the last good value stays in force",
-            )
-        if keys:
-            self._apply_configuration(keys, values)
-        applied = {name: new.get(name) for name in (TENANTS_SETTING, CLASSES_SETTING)}
-        self._config = replace(self._config, settings={**old, **applied})
-        if classes_without_values(old) == classes_without_values(new):
-            return [TENANTS_SETTING, CLASSES_SETTING]
-        return [TENANTS_SETTING]
-
     # HostOperations, apart from the methods of HostOperationsBase
 
     def send_gossip(self, peer: int | None, payloads: Sequence[bytes]) -> None:
