--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -18,8 +18,8 @@
 
 READ_BUFFER_BYTES = 32768
 MAX_COMMANDS_PER_WORK_ITEM = 8
-# Read without coming to the end of what has arrived; then commands are handled all the same. By default the kernel keeps
-# as much for a client that has closed with bytes unsent (tcp_wmem).
+# Read without coming to the end of what has arrived; then commands are handled all the same. By default the kernel
+# keeps as much for a client that has closed with bytes unsent (tcp_wmem).
 MAX_READ_AHEAD_BYTES = 1 << 22
 MAX_COMMANDS_PER_READ = 64  # a read with more queries is a protocol violation, and none of them runs
 MAX_RESPONSE_SLOTS = 1024  # commands without a response and rejections; one more command is a protocol violation
