--- a/tests/test_fair_work.py
+++ b/tests/test_fair_work.py
@@ -10,6 +10,7 @@
 from lanelead.decisions.interface import Attempt
 from lanelead.postgres_relay import request_intake
 from lanelead.runtime.abandoned_requests import AbandonedRequests
+from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue, WorkShare
 from lanelead.runtime.pending_requests import PendingRequest
 from tests.abuse.player import play
@@ -186,3 +187,34 @@
         self.assertEqual(measured.sent_after_close, [], measured.line())
         self.assertEqual(measured.usual.counts[Answer.NEVER], 0, measured.line())
         self.assertTrue(measured.running)
+
+
+class Timers(unittest.TestCase):
+    def test_timers_that_are_due_together_are_handled_in_several_calls(self) -> None:
+        # Guards against one turn for the timeouts of thousands of requests.
+        now = 0
+        decisions = mock.Mock(actions=[], now=0)
+
+        def use_two_milliseconds(target: object) -> None:
+            nonlocal now
+            now += 20
+
+        decisions.timer_fired.side_effect = use_two_milliseconds
+        driver = DecisionDriver(
+            decisions=decisions,
+            host=mock.Mock(),
+            clock=lambda: now,
+            request_classes=[],
+            limits=mock.Mock(),
+            max_pending=1,
+            max_retry_after=0,
+        )
+        for _ in range(100):
+            driver._timers.add(0, None)
+        calls = 0
+        while driver.next_timer() is not None:
+            before = decisions.timer_fired.call_count
+            driver.tick()
+            self.assertLessEqual(decisions.timer_fired.call_count - before, 3)
+            calls += 1
+        self.assertEqual((decisions.timer_fired.call_count, calls > 30), (100, True))
