Names and comments of the new modules in the field's words

room, behind and others are words of the earlier house style: capacity, memory and after. No behaviour changes, but for the texts of two rejections that are new since this change.

--- a/lanelead/http/requests.py
+++ b/lanelead/http/requests.py
@@ -23,7 +23,7 @@
 # How many bytes beyond the head's limit may be fed, since the parser buffers a header until it is complete.
 PARSER_HEAD_SLACK_BYTES = 65536
 MAX_HEADERS = 200  # of a request; each costs far more memory and time than its bytes
-HEADER_BYTES = 160  # counted for each header that is kept, beside its text
+HEADER_BYTES = 160  # counted for each header that is kept, in addition to its text
 MAX_REASON_CHARACTERS = 120
 UNREADABLE_REQUEST = "a request that cannot be read"
 
--- a/lanelead/http_relay/client_connection.py
+++ b/lanelead/http_relay/client_connection.py
@@ -33,7 +33,7 @@
 COMPLAINT_PATH = b"/.lanelead/complaint"
 STATE_PATH = b"/.lanelead/state"
 MAX_WRITE_BYTES = 65536  # joined for one write, unless a single response is longer
-SLOT_BYTES = 512  # counted for each response that is due, beside its request and its text
+SLOT_BYTES = 512  # counted for each response that is due, in addition to its request and its text
 LINGER_SECONDS = 0.5  # time for a client to read the last response before the connection is closed
 
 
@@ -98,7 +98,7 @@
 
     # Requests
 
-    def _has_room(self) -> bool:
+    def _has_free_slot(self) -> bool:
         return len(self.slots) < self._listener.quota.pipelined
 
     def _handle_event(self, event: Event) -> None:
@@ -126,7 +126,7 @@
             self._handle_relay_path(slot, request)
             return
         if self._listener.buffers.is_exceeded:
-            self._set_response(slot, response_texts.no_room(not slot.close))
+            self._set_response(slot, response_texts.not_forwarded(not slot.close))
             return
         try:
             self._pass_to_driver(slot, request)
@@ -304,9 +304,9 @@
                 if slot.deferred is not None:
                     slot.deferred = None
                     self._listener.executed_ids.remove(slot.pending.id)
-                    self._set_response(slot, response_texts.no_room(not slot.close))
+                    self._set_response(slot, response_texts.not_forwarded(not slot.close))
 
-    def close_for_room(self) -> None:
+    def close_to_free_memory(self) -> None:
         """Closes a connection whose client is slow, since the relay holds too many bytes for its clients."""
         if self._writing:
             self.abort()
@@ -316,7 +316,7 @@
         slot = self._add_slot(None)
         slot.close = True
         self._closing = True
-        self._set_response(slot, response_texts.no_room(keep=False))
+        self._set_response(slot, response_texts.not_forwarded(keep=False))
 
     def _close_if_finished(self) -> None:
         """Closes the socket once reading has ended and no response is due; begins to linger after the last response."""
--- a/lanelead/http_relay/request_intake.py
+++ b/lanelead/http_relay/request_intake.py
@@ -1,6 +1,6 @@
 """Reads a client's bytes ahead of handling its requests.
 
-The end of a client's stream is behind what the client has sent, and a request must not run once its client has gone. So
+The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone. So
 a request is handled once all that has arrived is read. A work item is one read, and the handling of a few requests.
 """
 
@@ -14,7 +14,7 @@
 
 from lanelead.http.requests import Event, HttpRequest, RejectedRequest, RequestReader, State
 from lanelead.runtime.fair_work_queue import WorkShare
-from lanelead.runtime.peer_close import has_closed_behind_all, peer_has_closed
+from lanelead.runtime.peer_close import has_closed_after_all, peer_has_closed
 
 if TYPE_CHECKING:
     from lanelead.http_relay.client_listener import ClientListener
@@ -24,9 +24,9 @@
 MAX_REQUESTS_PER_WORK_ITEM = 8
 MAX_INBOX_REQUESTS = 256  # requests that are not handled yet; one more ends the connection
 MAX_INBOX_BYTES = 1 << 20  # of these requests; above this the relay reads no more
-EVENT_BYTES = 512  # counted for each request that waits, beside its text
+EVENT_BYTES = 512  # counted for each request that waits, in addition to its text
 # An attempt may begin for this long after the first bytes that were followed by the client's close: clients that only
-# close their sending side, right behind a request, still get their responses.
+# close their sending side, right after a request, still get their responses.
 CLOSE_GRACE_SECONDS = 0.04
 
 
@@ -82,7 +82,7 @@
         self._close_if_finished()
         if self._sock.fileno() >= 0:
             self._pause_or_resume()
-            if self._inbox and self._has_room():
+            if self._inbox and self._has_free_slot():
                 self._schedule()
         self._listener.after_event()
 
@@ -100,7 +100,7 @@
     # Reading
 
     def _read_ahead(self) -> None:
-        """Reads once, and looks for the client's close. A read that leaves bytes behind is followed by others."""
+        """Reads once, and looks for the client's close. If bytes remain, other reads follow."""
         if not self._reading or self._inbox_bytes > MAX_INBOX_BYTES:
             return
         if self._read_some() and self._inbox and peer_has_closed(self._sock):
@@ -131,7 +131,7 @@
         self._track_head_start()
         if len(data) < size:
             self._caught_up = True
-            if self._inbox and has_closed_behind_all(self._sock):
+            if self._inbox and has_closed_after_all(self._sock):
                 self._on_client_closed()
             return False
         return True
@@ -193,13 +193,13 @@
     def _handle_next(self) -> None:
         if self._closing:
             self._clear_inbox()
-        if self._inbox and self._may_handle() and self._has_room():
+        if self._inbox and self._may_handle() and self._has_free_slot():
             event = self._inbox.popleft()
             self._inbox_bytes -= _size_of(event)
             self._handle_event(event)
 
     def _may_handle(self) -> bool:
-        """Whether a request may be handled: what is behind unread bytes may be the client's close.
+        """Whether a request may be handled: the client's close may follow the bytes that are unread.
 
         That does not matter where the rest is not parsed any more, or not read since too much waits.
         """
@@ -216,7 +216,7 @@
 
     # Overridden by the connection
 
-    def _has_room(self) -> bool:
+    def _has_free_slot(self) -> bool:
         """Whether another request may be handled before earlier ones have their responses."""
         raise NotImplementedError
 
@@ -229,7 +229,7 @@
         raise NotImplementedError
 
     def _update_held_bytes(self) -> None:
-        """Tells the listener's budget how much this connection holds; the budget may close connections."""
+        """Reports to the listener's budget how much this connection holds; the budget may close connections."""
         raise NotImplementedError
 
     def _client_disconnected(self) -> None:
--- a/lanelead/http_relay/response_texts.py
+++ b/lanelead/http_relay/response_texts.py
@@ -21,13 +21,13 @@
     keep=False,
 )
 
-NO_ROOM_BODY = b"shed: too much is held for clients, or this one has gone; nothing was done\n"
+NOT_FORWARDED_BODY = b"shed: too little memory, or the client has closed; nothing was done\n"
 
 
-def no_room(keep: bool) -> bytes:
-    """Encodes status 503 to a request that was not passed to any endpoint, for lack of room or of its client."""
+def not_forwarded(keep: bool) -> bytes:
+    """Encodes status 503 to a request that was not passed to any endpoint, for lack of memory or since its client has closed."""
     headers = (*PLAIN_TEXT, (OUTCOME_HEADER, RequestOutcome.REJECTED.value.encode()), (b"retry-after", b"1"))
-    return serialization.response(503, headers, NO_ROOM_BODY, keep)
+    return serialization.response(503, headers, NOT_FORWARDED_BODY, keep)
 
 
 def _is_head(request: HttpRequest | None) -> bool:
--- a/lanelead/postgres_relay/client_connection.py
+++ b/lanelead/postgres_relay/client_connection.py
@@ -235,13 +235,15 @@
             self.sock.send(messages.error(TOO_MANY_CONNECTIONS, text, fatal=True))
         self.close()
 
-    def close_for_room(self) -> None:
+    def close_to_free_memory(self) -> None:
         """Closes a connection whose client is slow, since the relay holds too many bytes for its clients."""
         if self.write_buffer:  # nothing can be sent behind a response that is not read
             self.on_disconnect()
             return
         self.reader.drop_partial_message()
-        self.close_with_rejection(TOO_MANY_CONNECTIONS, "no room for the rest of a slow message: it did not run")
+        self.close_with_rejection(
+            TOO_MANY_CONNECTIONS, "too little memory for the rest of a slow message: it did not run"
+        )
         self._update_held_bytes()
 
     def fail_requests(self, due_by: float = math.inf) -> int:
--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -1,6 +1,6 @@
 """Reads a client's bytes ahead of handling its commands.
 
-The end of a client's stream is behind what the client has sent, and a request must not run once its client has gone. So
+The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone. So
 a command is handled once all that has arrived is read. A work item is one read, and the handling of a few commands.
 """
 
@@ -14,7 +14,7 @@
 from lanelead.postgres_relay.connection_owner import ConnectionOwner
 from lanelead.postgres_relay.response_writer import ResponseWriter
 from lanelead.runtime.fair_work_queue import WorkShare
-from lanelead.runtime.peer_close import has_closed_behind_all, peer_has_closed
+from lanelead.runtime.peer_close import has_closed_after_all, peer_has_closed
 
 READ_BUFFER_BYTES = 32768
 MAX_COMMANDS_PER_WORK_ITEM = 8
@@ -105,10 +105,10 @@
         return self.reader.finished or self.read_ahead_bytes > MAX_READ_AHEAD_BYTES
 
     def _client_has_gone(self, received: int) -> bool:
-        """Returns whether the client has closed behind the bytes just read, and disconnects it in that case."""
+        """Returns whether the client has closed after the bytes just read, and disconnects it in that case."""
         if not self.inbox:
             return False
-        has_gone = has_closed_behind_all(self.sock) if received < READ_BUFFER_BYTES else peer_has_closed(self.sock)
+        has_gone = has_closed_after_all(self.sock) if received < READ_BUFFER_BYTES else peer_has_closed(self.sock)
         if has_gone:
             self.on_disconnect()
         return has_gone
--- a/lanelead/postgres_relay/response_writer.py
+++ b/lanelead/postgres_relay/response_writer.py
@@ -13,7 +13,7 @@
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 
 MAX_WRITE_BUFFER_BYTES = 1 << 18  # responses that the client has not read; above this the relay reads no requests
-SLOT_BYTES = 256  # counted for each response that waits, beside its text
+SLOT_BYTES = 256  # counted for each response that waits, in addition to its text
 
 
 class ResponseWriter:
@@ -162,7 +162,7 @@
         raise NotImplementedError
 
     def _update_held_bytes(self) -> None:
-        """Tells the listener's budget how much this connection holds; the budget may close connections."""
+        """Reports to the listener's budget how much this connection holds; the budget may close connections."""
         raise NotImplementedError
 
     def _on_readable(self) -> None:
--- a/lanelead/runtime/buffer_budget.py
+++ b/lanelead/runtime/buffer_budget.py
@@ -8,8 +8,8 @@
 
 from typing import Protocol
 
-SEARCH_STEP_SHARE = 0.01  # of the bound: by how much the sum has to grow after a search in vain
-SMALL_HOLDERS = 1024  # that many connections which hold less than this part of the bound are not worth closing
+SEARCH_STEP_SHARE = 0.01  # of the bound: by how much the sum has to grow after a search that found none
+SMALL_HOLDERS = 1024  # a connection that holds less than this part of the bound is not closed
 
 
 class Holder(Protocol):
@@ -20,8 +20,8 @@
         """Whether it holds bytes since its client has not sent or not read the rest."""
         ...
 
-    def close_for_room(self) -> None:
-        """Gives up what it holds; its client gets a rejection where no response is due."""
+    def close_to_free_memory(self) -> None:
+        """Drops what it holds; its client gets a rejection where no response is due."""
         ...
 
 
@@ -32,13 +32,15 @@
         self.max_bytes = max_bytes
         self.held_bytes = 0
         self.peak_bytes = 0
-        self.closed_connections = 0  # to make room
-        self._next_search_bytes = 0.0  # after a search in vain, the sum at which it is worth to search again
+        self.closed_connections = 0  # to free memory
+        self._next_search_bytes = (
+            0.0  # the sum from which on connections are searched again, if the last search found none
+        )
         self._holders: dict[Holder, int] = {}  # the bytes of each, in the order in which they began to hold any
 
     @property
     def is_exceeded(self) -> bool:
-        """Whether more is held than the bound allows. Further requests are then to be rejected."""
+        """Whether more is held than the bound allows. New requests are then to be rejected."""
         return self.held_bytes > self.max_bytes
 
     def update(self, holder: Holder, held_bytes: int) -> None:
@@ -54,16 +56,16 @@
         if not self.is_exceeded:
             self._next_search_bytes = 0.0
         elif held_bytes > previous and self.held_bytes >= self._next_search_bytes:
-            self._make_room()
+            self._free_memory()
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
-    def _make_room(self) -> None:
+    def _free_memory(self) -> None:
         least = self.max_bytes // SMALL_HOLDERS
         for holder, held_bytes in list(self._holders.items()):
             if not self.is_exceeded:
                 return
             if held_bytes > least and holder in self._holders and holder.waits_for_client:
                 self.closed_connections += 1
-                holder.close_for_room()
+                holder.close_to_free_memory()
         if self.is_exceeded:
             self._next_search_bytes = self.held_bytes + SEARCH_STEP_SHARE * self.max_bytes
--- a/lanelead/runtime/peer_close.py
+++ b/lanelead/runtime/peer_close.py
@@ -18,7 +18,7 @@
     return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
 
 
-def has_closed_behind_all(sock: socket.socket) -> bool:
+def has_closed_after_all(sock: socket.socket) -> bool:
     """Returns whether the peer has closed, half closed or reset the connection and nothing is left to be read."""
     try:
         return not sock.recv(1, socket.MSG_PEEK)
@@ -31,7 +31,7 @@
 class PeerCloseMonitor:
     """Checks a few times a second whether the peers of sockets that are not being read have closed them.
 
-    The event loop cannot tell this: a socket with unread bytes is readable, whether or not its peer has gone.
+    The event loop does not report this: a socket with unread bytes is readable, whether or not its peer has gone.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -13,13 +13,13 @@
 
 
 class SlowConnection:
-    """A connection that holds bytes until it is closed for room."""
+    """A connection that holds bytes until it is closed to free memory."""
 
     def __init__(self, budget: BufferBudget, waits_for_client: bool = True) -> None:
         self.budget, self.waits_for_client = budget, waits_for_client
         self.closed = False
 
-    def close_for_room(self) -> None:
+    def close_to_free_memory(self) -> None:
         self.closed = True
         self.budget.update(self, 0)
 
--- a/tests/test_drain_beside_abuse.py
+++ b/tests/test_drain_beside_abuse.py
@@ -68,7 +68,7 @@
 
     @run_on_uvloop
     async def test_one_drain_call_reads_a_bounded_part_of_what_a_client_sends(self) -> None:
-        # Guards against an unbounded loop over one connection, whatever the speed of this machine.
+        # Guards against an unbounded loop over one connection, whatever the speed of this computer.
         async with platform(ScriptedEndpoint("u0")) as env:
             await env.client()
             connection = next(iter(env.relay.listener.clients))
@@ -117,7 +117,7 @@
 
     @run_on_uvloop
     async def test_what_a_client_sent_beyond_the_bound_still_gets_answers(self) -> None:
-        # Guards against requests that are read by nobody once the bounded part of a drain is over.
+        # Guards against requests that stay unread once the bounded part of a drain is over.
         async with platform(ScriptedEndpoint("u0")) as env:
             sock = env.raw_client()
             await env.until(lambda: any(c.reader.started for c in env.relay.listener.clients))
--- a/tests/test_fair_work.py
+++ b/tests/test_fair_work.py
@@ -63,7 +63,7 @@
 
     @run_on_uvloop
     async def test_a_connection_that_has_used_little_goes_before_those_at_full_speed(self) -> None:
-        # Guards against regular clients that wait behind all work of clients at full speed.
+        # Guards against regular clients that wait for all work of clients at full speed.
         clock, done = ManualClock(), list[str]()
         queue = FairWorkQueue(asyncio.get_running_loop(), clock)
         heavy = [Worker("heavy", clock, done) for _ in range(50)]
@@ -80,7 +80,7 @@
 
     @run_on_uvloop
     async def test_new_connections_do_not_starve_an_old_one(self) -> None:
-        # Guards against a virtual time that stands still while each new connection brings work.
+        # Guards against a virtual time that does not advance while each new connection brings work.
         clock, done = ManualClock(), list[str]()
         queue = FairWorkQueue(asyncio.get_running_loop(), clock)
         old = Worker("old", clock, done, seconds=0.02)
@@ -152,7 +152,7 @@
 
     @run_on_uvloop
     async def test_no_command_is_handled_before_the_end_of_what_has_arrived_is_read(self) -> None:
-        # Guards against commands whose client has gone, while its close is still behind what it has sent.
+        # Guards against commands whose client has gone, while its close is not visible yet.
         with (
             mock.patch.object(request_intake, "READ_BUFFER_BYTES", 100),
             mock.patch.object(request_intake, "peer_has_closed", return_value=False),
--- a/tests/test_http_relay_abuse.py
+++ b/tests/test_http_relay_abuse.py
@@ -27,7 +27,7 @@
 
 @contextlib.asynccontextmanager
 async def relay_that_knows_the_rollout(*endpoints: ScriptedEndpoint) -> AsyncIterator[RelayEnvironment]:
-    """Runs a relay that has heard from its feeds. Before that a build counts as a canary, which gets few requests."""
+    """Runs a relay that has received its feeds. Before that a build counts as a canary, which gets few requests."""
     async with relay_environment(*endpoints) as env:
         while not all(state_of(env)["feeds"].values()):
             await asyncio.sleep(0.01)
@@ -57,7 +57,7 @@
 class ClosedClients(unittest.TestCase):
     @run_on_uvloop
     async def test_no_second_copy_is_sent_for_a_client_that_has_closed(self) -> None:
-        # Guards against hedges and retries for nobody (review/10).
+        # Guards against hedges and retries for a client that has closed (review/10).
         endpoints = [ScriptedEndpoint(name, respond_with(wait=1.2)) for name in ("u", "v")]
         async with relay_that_knows_the_rollout(*endpoints) as env:
             client = await Client.to(env)
@@ -70,7 +70,7 @@
 
     @run_on_uvloop
     async def test_a_half_closed_client_gets_no_retry_but_an_answer(self) -> None:
-        # Guards against a further attempt after the close, and against a client that waits for nothing.
+        # Guards against a retry after the close, and against a client that waits for no response.
         async def reset_late(
             endpoint: ScriptedEndpoint, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
@@ -146,7 +146,7 @@
 
     @run_on_uvloop
     async def test_far_too_many_pipelined_requests_end_the_connection_after_the_answers_due(self) -> None:
-        # Guards against requests without number that wait for their turn, and against a close without a word.
+        # Guards against an unbounded queue of requests, and against a close without an error.
         endpoint = ScriptedEndpoint("u", respond_with(b"ok\n", wait=0.1))
         async with relay_that_knows_the_rollout(endpoint) as env:
             client = await Client.to(env)
