--- a/lanelead/http_relay/request_intake.py
+++ b/lanelead/http_relay/request_intake.py
@@ -1,7 +1,7 @@
 """Reads a client's bytes ahead of handling its requests.
 
-The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone. So
-a request is handled once all that has arrived is read. A work item is one read, and the handling of a few requests.
+The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone.
+So a request is handled once all that has arrived is read. A work item is one read, and the handling of a few requests.
 """
 
 from __future__ import annotations
--- a/lanelead/http_relay/response_texts.py
+++ b/lanelead/http_relay/response_texts.py
@@ -25,7 +25,7 @@
 
 
 def not_forwarded(keep: bool) -> bytes:
-    """Encodes status 503 to a request that was not passed to any endpoint, for lack of memory or since its client has closed."""
+    """Encodes status 503 to a request that was not forwarded, for lack of memory or since its client has closed."""
     headers = (*PLAIN_TEXT, (OUTCOME_HEADER, RequestOutcome.REJECTED.value.encode()), (b"retry-after", b"1"))
     return serialization.response(503, headers, NOT_FORWARDED_BODY, keep)
 
