Requests whose clients have closed no longer count as waiting for an attempt

Cause: a request whose client had closed its sending side, or had gone and was not ended yet, stayed among those that wait for capacity. The end of any attempt resumed three of these; each started an attempt, which the driver withheld, whose end resumed three more.

Change: a new event, attempts_forbidden, tells the decisions; a request without an attempt in flight gets its answer at once, any other with its last attempt. Requests of clients that have gone are ended at once unless an attempt is in flight.

The earlier test of AbandonedRequests gives its requests an attempt in flight, since others are ended at once now; its check is the same.

--- a/lanelead/decisions/interface.py
+++ b/lanelead/decisions/interface.py
@@ -138,6 +138,7 @@
     is_write: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     finished: bool = False
+    accepts_attempts: bool = True  # whether further attempts may begin
 
 
 @dataclass(slots=True, eq=False)
@@ -373,6 +374,9 @@
     def client_left(self, request: Request) -> None:
         """End a request whose client no longer waits for the answer."""
 
+    def attempts_forbidden(self, request: Request) -> None:
+        """Begin no further attempt of a request, and give its final answer once none is in flight."""
+
     def timer_fired(self, request: Request | None) -> None:
         """Handle a timer that was set by `SetTimer`."""
 
--- a/lanelead/decisions/request_routing.py
+++ b/lanelead/decisions/request_routing.py
@@ -43,6 +43,12 @@
             if attempt.outcome is None and self._quota.may_cancel and not attempt.streaming:
                 self.actions.append(CancelAttempt(attempt))
 
+    def attempts_forbidden(self, request: Request) -> None:
+        """Begin no further attempt of a request; reject or fail it now, or when its last attempt in flight ends."""
+        request.accepts_attempts = False
+        if not request.finished and all(attempt.outcome is not None for attempt in request.attempts):
+            self._reject_or_fail(request)
+
     def may_send(self, attempt: Attempt) -> bool:
         """Return whether a started attempt may be sent now; it may have waited, for example for a connection."""
         return self._guards.may_send(attempt, self.now)
@@ -62,7 +68,7 @@
         give_up_at = min(
             request.deadline - self._limits.tick, request.received_at + request_class.latency_objective // 6
         )
-        while not self._is_shed_at_random(request):
+        while request.accepts_attempts and not self._is_shed_at_random(request):
             pair = self._select_in_priority_order(request, give_up_at)
             endpoint = pair[0] if pair else None
             if pair and self._has_few_observations() and self.now < give_up_at:
@@ -90,8 +96,9 @@
         while any(attempt.outcome is None for attempt in request.attempts):
             yield hedge_at if self.now < hedge_at and self._quota.hedging else request.deadline
             received = self._traffic.received
-            may_hedge = self._traffic.hedged.read(self.now) < MAX_HEDGED_SHARE * received.read(self.now)
-            pair = self._select(request) if may_hedge and self.now >= hedge_at else []
+            few_hedged = self._traffic.hedged.read(self.now) < MAX_HEDGED_SHARE * received.read(self.now)
+            may_hedge = few_hedged and self.now >= hedge_at and request.accepts_attempts
+            pair = self._select(request) if may_hedge else []
             last = request.attempts[-1]
             if pair and last.outcome is None and pair[0] is not last.endpoint:
                 self._traffic.hedged.add(self.now, 1)
--- a/lanelead/http_relay/client_connection.py
+++ b/lanelead/http_relay/client_connection.py
@@ -298,13 +298,14 @@
         self._update_held_bytes()
 
     def _forbid_attempts(self) -> None:
-        for slot in self.slots:
-            if slot.pending is not None and slot.data is None:
-                slot.pending.accepts_attempts = False
-                if slot.deferred is not None:
-                    slot.deferred = None
-                    self._listener.executed_ids.remove(slot.pending.id)
-                    self._set_response(slot, response_texts.not_forwarded(not slot.close))
+        for slot in list(self.slots):
+            if slot.pending is None or slot.data is not None:
+                continue
+            self._listener.driver.forbid_attempts(slot.pending)
+            if slot.deferred is not None:
+                slot.deferred = None
+                self._listener.executed_ids.remove(slot.pending.id)
+                self._set_response(slot, response_texts.not_forwarded(not slot.close))
 
     def close_to_free_memory(self) -> None:
         """Closes a connection whose client is slow, since the relay holds too many bytes for its clients."""
--- a/lanelead/runtime/abandoned_requests.py
+++ b/lanelead/runtime/abandoned_requests.py
@@ -1,6 +1,7 @@
 """Ends the requests of clients that have gone: no attempt of them begins any more, and those in flight are cancelled.
 
-To cancel an attempt closes a connection, so that hundreds of requests take long. They are ended a few at a time.
+To cancel an attempt closes a connection, so that hundreds of requests take long. They are ended a few at a time. A
+request without an attempt in flight is ended at once, so that it is not considered when another attempt ends.
 """
 
 from __future__ import annotations
@@ -36,7 +37,10 @@
         """Forbids further attempts of these requests at once, and ends them now or in later turns of the event loop."""
         for pending in requests:
             pending.accepts_attempts = False
-            self._waiting.append(pending)
+            if pending.has_attempt_in_flight:
+                self._waiting.append(pending)
+            else:
+                self._client_left(pending)
         if not self._scheduled:
             self._end_some()
 
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -165,6 +165,18 @@
         self.decisions.client_left(pending.request)
         self._run_actions()
 
+    def forbid_attempts(self, pending: PendingRequest) -> None:
+        """Begins no further attempt of a request, for example since its client has closed its sending side.
+
+        A request without an attempt in flight is answered at once, any other when its last attempt ends.
+        """
+        pending.accepts_attempts = False
+        if pending.answered or pending.request is None:
+            return
+        self._advance_clock()
+        self.decisions.attempts_forbidden(pending.request)
+        self._run_actions()
+
     def attempt_ended(
         self, attempt: Attempt, outcome: AttemptOutcome, answer: Any = None, report: LoadReport | None = None
     ) -> None:
--- a/lanelead/runtime/pending_requests.py
+++ b/lanelead/runtime/pending_requests.py
@@ -48,3 +48,8 @@
     answered: bool = False
     timed_out: bool = False
     accepts_attempts: bool = True
+
+    @property
+    def has_attempt_in_flight(self) -> bool:
+        """Whether an attempt of the request has no outcome yet."""
+        return self.request is not None and any(attempt.outcome is None for attempt in self.request.attempts)
--- a/tests/test_fair_work.py
+++ b/tests/test_fair_work.py
@@ -7,17 +7,20 @@
 import unittest
 from unittest import mock
 
-from lanelead.decisions.interface import Attempt
+from lanelead.decisions.interface import Attempt, AttemptOutcome, Endpoint, Request
 from lanelead.postgres_relay import request_intake
+from lanelead.runtime import abandoned_requests
 from lanelead.runtime.abandoned_requests import AbandonedRequests
 from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue, WorkShare
 from lanelead.runtime.pending_requests import PendingRequest
 from tests.abuse.measurement import measure_relay
 from tests.abuse.requests import RelayKind
+from tests.fake_decisions_host import IDEMPOTENT_CLASS, SECOND
 from tests.http_relay_environment import run_on_uvloop
 from tests.postgres_platform import platform, statement
 from tests.scripted_endpoints import ScriptedEndpoint
+from tests.test_driver import DriverHarness
 
 PIECE_SECONDS = 0.002
 
@@ -130,6 +133,9 @@
 
         abandoned = AbandonedRequests(asyncio.get_running_loop(), end, lambda: None)
         requests = [PendingRequest(str(number), None, lambda *_: None) for number in range(50)]
+        for pending in requests:
+            pending.request = Request(IDEMPOTENT_CLASS, None, None, 0, SECOND)
+            pending.request.attempts.append(Attempt(pending.request, Endpoint(1), 0, 0, SECOND))
         abandoned.add(requests)
         self.assertFalse(any(pending.accepts_attempts for pending in requests))
         while len(ended) < 50:
@@ -138,6 +144,18 @@
         self.assertEqual(ended, requests)
         self.assertLessEqual(max(turns.count(number) for number in turns), 3)
 
+    @run_on_uvloop
+    async def test_the_end_of_one_attempt_takes_no_time_for_requests_whose_clients_have_left(self) -> None:
+        # Guards against attempts that are started for them one after another, and never sent: 119 in one turn.
+        harness = DriverHarness()
+        harness.ask()
+        requests = [harness.ask() for _ in range(100)]
+        abandoned = AbandonedRequests(asyncio.get_running_loop(), harness.driver.client_left, lambda: None)
+        with mock.patch.object(abandoned_requests, "MAX_TURN_SECONDS", 0.0):
+            abandoned.add(requests)
+            harness.end(harness.recording_host.sent[0][1], AttemptOutcome.SUCCEEDED)
+        self.assertEqual(harness.driver.counters.outcomes, {AttemptOutcome.SUCCEEDED: 1})
+
 
 class LeavingClients(unittest.TestCase):
     @run_on_uvloop
--- a/tests/test_http_relay_abuse.py
+++ b/tests/test_http_relay_abuse.py
@@ -89,6 +89,20 @@
             self.assertEqual(await client.read_to_end(), b"")
             self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
 
+    @run_on_uvloop
+    async def test_no_attempt_is_tried_for_half_closed_clients_whose_requests_wait(self) -> None:
+        # Guards against attempts that are started one after another, and never sent, in one turn of the event loop.
+        endpoint = ScriptedEndpoint("u", respond_with(b"ok\n", wait=0.07))
+        async with relay_that_knows_the_rollout(endpoint) as env:
+            clients = [await Client.to(env) for _ in range(20)]
+            for client in clients:
+                client.writer.write(REQUEST * 8)
+                client.writer.write_eof()
+            for client in clients:
+                received = await client.read_to_end()
+                self.assertEqual(received.count(b"HTTP/1.1 200") + received.count(b"HTTP/1.1 503"), 8)
+            self.assertNotIn("not sent", state_of(env)["outcomes"])
+
     @run_on_uvloop
     async def test_an_effectful_id_that_comes_again_after_its_client_has_left_is_refused(self) -> None:
         # Guards against a request that runs twice, once for each of its clients' connections.
--- a/tests/test_request_routing.py
+++ b/tests/test_request_routing.py
@@ -35,6 +35,26 @@
         host.advance(4 * SECOND)
         self.assertEqual((len(host.attempts(request)), host.final_actions(request)), (1, []))
 
+    def test_a_request_that_waits_is_rejected_once_no_attempt_may_begin(self) -> None:
+        host = FakeHost(endpoints=1)
+        host.send_request(IDEMPOTENT_CLASS)
+        waiting = host.send_request(IDEMPOTENT_CLASS)
+        self.assertEqual((host.attempts(waiting), host.final_actions(waiting)), ([], []))
+        host.balancer.attempts_forbidden(waiting)
+        host.take_actions()
+        self.assertEqual([type(action) for action in host.final_actions(waiting)], [RejectRequest])
+
+    def test_a_request_whose_attempts_are_forbidden_is_not_tried_again(self) -> None:
+        for outcome, final in ((AttemptOutcome.REJECTED, RejectRequest), (AttemptOutcome.RESET, FailRequest)):
+            host = FakeHost()
+            request = host.send_request(IDEMPOTENT_CLASS)
+            host.balancer.attempts_forbidden(request)
+            host.take_actions()
+            host.advance(3 * SECOND)
+            self.assertEqual(host.final_actions(request), [])
+            host.end_attempt(host.attempts(request)[0], outcome)
+            self.assertEqual((len(host.attempts(request)), *map(type, host.final_actions(request))), (1, final))
+
     def test_a_request_is_not_hedged_once_its_response_streams(self) -> None:
         for streaming, attempts in ((False, 2), (True, 1)):
             host = FakeHost()
