The migration log counts as received once its last entry is read

Cause: the store's watch begins with a page without entries and sends a long log in pages; Readiness held the log for received with the first page, and without a plan every build is ready.

Change: received once the sequence number that the page tells is read; until then only the earliest listed build gets requests.

--- a/lanelead/migrations/readiness.py
+++ b/lanelead/migrations/readiness.py
@@ -3,9 +3,9 @@
 Uses no I/O and no clock of its own. The relay's driver queries it when endpoints are listed, right before the first
 byte of an attempt is written, and when the decisions vote to promote.
 
-A relay that has not yet received the log does not know what builds need, and sends only to the earliest build listed. A
-relay that has lost its connection to the store goes on with the log as last received. That is safe, since a step that
-ends a build's readiness changes nothing before every registered relay has acknowledged its barrier.
+A relay that has not yet received the whole log does not know what builds need, and sends only to the earliest build
+listed. A relay that has lost its connection to the store goes on with the log as last received. That is safe, since a
+step that ends a build's readiness changes nothing before every registered relay has acknowledged its barrier.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from lanelead.migrations.errors import InvalidEntryError
 from lanelead.migrations.migration_log import MigrationLog, StepStatus
 from lanelead.protocols.feeds import MessageError
-from lanelead.protocols.migrations import LoggedEntry
+from lanelead.protocols.migrations import MigrationLogPage
 
 RELEASED_STAGE = 1 << 30  # above every rollout stage: a released build needs the steps of all stages
 
@@ -31,7 +31,7 @@
 
     def __init__(self, grace: Ticks, no_acknowledgement_until: Ticks) -> None:
         self.log = MigrationLog()
-        self._log_received = False
+        self._log_received = False  # the whole log, as long as it was when its first pages were sent
         self._earliest_build: int | None = None
         self._rollout_build = -1
         self._rollout_stage = RELEASED_STAGE
@@ -43,19 +43,20 @@
 
     # Events
 
-    def entries_received(self, entries: Iterable[LoggedEntry]) -> None:
-        """Adds entries to the log; skips known ones, which a reopened stream repeats.
+    def page_received(self, page: MigrationLogPage) -> None:
+        """Adds a page's entries to the log; skips known ones, which a reopened stream repeats.
 
         Raises MessageError if an entry breaks a rule of the log; the entries before it are kept.
         """
-        self._log_received = True
-        for logged in entries:
+        for logged in page.entries:
             if logged.seq <= self.log.last_seq:
                 continue
             try:
                 self.log.append(logged)
             except InvalidEntryError as error:
                 raise MessageError(f"migration log: {error}") from None
+        if self.log.last_seq >= page.last_seq:  # a long log comes in several pages
+            self._log_received = True
 
     def builds_listed(self, builds: Iterable[int]) -> None:
         """Records the builds of all listed endpoints."""
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -275,7 +275,7 @@
                 f"of which {self.readiness.log.last_seq} were read"
             )
         self._advance_clock()
-        self.readiness.entries_received(page.entries)
+        self.readiness.page_received(page)
         self._report_readiness_changes()
         self._run_actions()
 
--- a/lanelead/testbed/emulators/write_traffic.py
+++ b/lanelead/testbed/emulators/write_traffic.py
@@ -78,7 +78,7 @@
             path = b"/record/watch?relay=%d&since=%d" % (RELAY, self._readiness.log.last_seq)
             try:
                 async for line in stream(self._loop, self._address, path, STREAM_TIMEOUT_SECONDS):
-                    self._readiness.entries_received(decode(line, MigrationLogPage).entries)
+                    self._readiness.page_received(decode(line, MigrationLogPage))
             except CallFailedError:
                 await asyncio.sleep(RECONNECT_DELAY_SECONDS)
 
--- a/tests/test_migration_readiness.py
+++ b/tests/test_migration_readiness.py
@@ -46,7 +46,7 @@
 class ReadinessRules(unittest.TestCase):
     def readiness(self, *entries: LogEntry) -> Readiness:
         found = Readiness(SECOND, 0)
-        found.entries_received(page(PLAN_ENTRY, *entries).entries)
+        found.page_received(page(PLAN_ENTRY, *entries))
         return found
 
     def attempt(self, sent: int = 0) -> Attempt:
@@ -57,16 +57,27 @@
         readiness = Readiness(SECOND, 0)
         readiness.builds_listed([2, 1, 2])
         self.assertEqual((readiness.accepts_traffic(1), readiness.accepts_traffic(2)), (True, False))
-        readiness.entries_received([])
+        readiness.page_received(MigrationLogPage([], 0))
         self.assertTrue(readiness.accepts_traffic(2))
 
+    def test_until_the_whole_log_is_received_only_the_earliest_listed_build_has_traffic(self) -> None:
+        # Guards against a build whose table is missing, used until a long log was read after a restart (review/9).
+        whole = page(PLAN_ENTRY, *done_entries("a", "b"))
+        readiness = Readiness(SECOND, 0)
+        readiness.builds_listed([1, 2])
+        for entries in (whole.entries[:0], whole.entries[:3], whole.entries[3:]):
+            self.assertEqual([readiness.accepts_traffic(build) for build in (1, 2)], [True, False])
+            self.assertFalse(readiness.allows_promotion(2, 0))
+            readiness.page_received(MigrationLogPage(entries, whole.last_seq))
+        self.assertEqual([readiness.accepts_traffic(build) for build in (1, 2)], [True, True])
+
     def test_traffic_waits_for_the_needs_of_the_stage_and_a_promotion_for_those_of_the_next(self) -> None:
         readiness = self.readiness(*done_entries("a"))
         readiness.rollout_changed(2, 0, True)
         self.assertEqual((readiness.accepts_traffic(2), readiness.allows_promotion(2, 0)), (True, False))
         readiness.rollout_changed(2, 1, True)
         self.assertFalse(readiness.accepts_traffic(2))
-        readiness.entries_received(page(*done_entries("b"), since=3).entries)
+        readiness.page_received(page(*done_entries("b"), since=3))
         self.assertEqual((readiness.accepts_traffic(2), readiness.allows_promotion(2, 0)), (True, True))
 
     def test_a_barrier_is_acknowledged_when_no_attempt_is_in_flight_to_builds_without_traffic(self) -> None:
@@ -75,7 +86,7 @@
         readiness.attempt_sent(1, forbidden)
         readiness.attempt_sent(2, allowed)
         self.assertEqual(readiness.acknowledgement_due(0), 0)
-        readiness.entries_received(page(LogEntry("closing", "end"), since=5).entries)
+        readiness.page_received(page(LogEntry("closing", "end"), since=5))
         self.assertEqual((readiness.accepts_traffic(1), readiness.acknowledgement_due(0)), (False, 0))
         readiness.attempt_ended(forbidden, True)
         self.assertEqual(readiness.acknowledgement_due(0), 6)
@@ -92,7 +103,7 @@
 
     def test_a_relay_that_has_just_started_does_not_acknowledge_for_its_earlier_process(self) -> None:
         readiness = Readiness(SECOND, 5 * SECOND)
-        readiness.entries_received(page(PLAN_ENTRY, *done_entries("a", "b"), LogEntry("closing", "end")).entries)
+        readiness.page_received(page(PLAN_ENTRY, *done_entries("a", "b"), LogEntry("closing", "end")))
         self.assertEqual(
             (readiness.acknowledgement_due(5 * SECOND - 1), readiness.acknowledgement_due(5 * SECOND)), (0, 6)
         )
@@ -100,9 +111,9 @@
     def test_an_entry_that_breaks_a_rule_is_rejected_and_earlier_entries_are_kept(self) -> None:
         readiness = self.readiness(*done_entries("a"))
         with self.assertRaises(MessageError):
-            readiness.entries_received(page(LogEntry("done", "b"), since=3).entries)
+            readiness.page_received(page(LogEntry("done", "b"), since=3))
         self.assertTrue(readiness.accepts_traffic(2))
-        readiness.entries_received(page(PLAN_ENTRY, *done_entries("a")).entries)  # a reopened stream repeats entries
+        readiness.page_received(page(PLAN_ENTRY, *done_entries("a")))  # a reopened stream repeats entries
         self.assertEqual(readiness.log.last_seq, 3)
 
 
