Undoing a step begins with a barrier if a build needs it from any stage on

Cause: builds_ended_by compared readiness at stage 0 only, so a need of a later stage named no build and no relay was asked.

Change: compared at each stage from which a build has needs. The rule for reading a log is unchanged, so that logs with such an undo by an earlier version stay readable; a test holds that.

--- a/lanelead/migrations/migration_log.py
+++ b/lanelead/migrations/migration_log.py
@@ -192,11 +192,21 @@
         return True
 
     def builds_ended_by(self, state: StepState, direction: Direction) -> list[int]:
-        """The builds that are ready now, and no longer once the step begins in this direction."""
+        """The builds that are ready at some rollout stage now, and no longer once the step begins in this direction."""
         return [
-            build for build in self.builds() if self.is_ready(build) and not self.is_ready(build, 0, state, direction)
+            build
+            for build in self.builds()
+            if any(self._ends_readiness(build, stage, state, direction) for stage in self._stages_of_needs(build))
         ]
 
+    def _ends_readiness(self, build: int, stage: int, state: StepState, direction: Direction) -> bool:
+        return self.is_ready(build, stage) and not self.is_ready(build, stage, state, direction)
+
+    def _stages_of_needs(self, build: int) -> list[int]:
+        """The stages from which a build that a plan names has requirements."""
+        needs = [need for requirements in self._build_requirements[build] for need in requirements.needs]
+        return sorted({0, *(need.stage for need in needs)})
+
     def dependents(self, state: StepState) -> list[StepState]:
         """The steps that name this one in their `after`."""
         return [other for other in self.steps.values() if state.step.name in other.step.after]
@@ -237,7 +247,8 @@
                     rule=5,
                 )
         elif entry.kind == "intent":
-            ended = self.builds_ended_by(state, entry.direction)
+            # Earlier versions wrote no barrier entry for needs of later stages. Their logs have to stay readable.
+            ended = [build for build in self.builds() if self._ends_readiness(build, 0, state, entry.direction)]
             if ended:
                 return InvalidEntryError(
                     f"a barrier entry must precede the intent: it ends the readiness of builds {ended}", rule=5
--- a/tests/test_migration_runner.py
+++ b/tests/test_migration_runner.py
@@ -155,6 +155,16 @@
         log = log_with(*done_entries("a", "b", "c"), LogEntry("closing", "d"))
         self.assertFalse(log.is_ready(1))
 
+    def test_undoing_a_step_ends_the_builds_that_need_it_from_any_stage_on(self) -> None:
+        # Guards against an undo that waits for no relay, though a released build needs the step (review/3).
+        log = log_with(*done_entries("a", "b"))
+        self.assertEqual(log.builds_ended_by(log.steps["b"], "undo"), [2])
+        self.assertEqual(log_with(*done_entries("a")).builds_ended_by(log.steps["b"], "undo"), [])
+
+    def test_a_log_with_an_undo_that_waited_for_no_relay_is_still_read(self) -> None:
+        log = log_with(*done_entries("a", "b"), LogEntry("intent", "b", "undo"), LogEntry("done", "b", "undo"))
+        self.assertEqual((log.is_ready(2, 0), log.is_ready(2, 1)), (True, False))
+
     def test_entries_that_break_a_rule_are_rejected_and_change_nothing(self) -> None:
         body = msgspec.json.encode(SEQUENTIAL_PLAN).decode()
         for before, entry, number in (
