A fitted line that rises by rounding errors alone counts as flat

On arm64 the test of the size at which a budget is exceeded failed each time: the fit gives a flat series a slope of 7.45e-17, which counts as rising, so 'never' became 13,400,000,000,000,000.

Change: a slope that changes the values by less than 1e-12 of them over the sizes is 0.

--- a/benchmarks/slopes/series.py
+++ b/benchmarks/slopes/series.py
@@ -19,6 +19,8 @@
 import numpy as np
 from scipy import stats
 
+ROUNDING_ERROR = 1e-12  # of fitted values, as a share of them; a line that rises by less is flat
+
 
 class Series(msgspec.Struct, frozen=True):
     """Measured values of one quantity by one size.
@@ -68,6 +70,8 @@
     weights = 1 / np.maximum(np.abs(values), np.max(np.abs(values)) * 1e-4 or 1.0)
     table = np.stack([np.ones_like(sizes), sizes], axis=1) * weights[:, None]
     (start, slope), *_ = np.linalg.lstsq(table, values * weights, rcond=None)
+    if abs(slope) * np.ptp(sizes) < ROUNDING_ERROR * np.max(np.abs(values)):
+        slope = 0.0
     spread = power = power_spread = float("nan")
     if len(points) > 2:
         left = values * weights - table @ np.array([start, slope])
