--- a/lanelead/postgres_relay/discovery_client.py
+++ b/lanelead/postgres_relay/discovery_client.py
@@ -2,7 +2,8 @@
 
 A call without a version is answered at once with a snapshot of the list. A watch is a call with the known version,
 which discovery holds without a response until the list changes or the hold time is over. After a success the next
-watch is made at once; after a failure a snapshot is fetched after a short delay.
+watch is made at once; after a failure a snapshot is fetched after a short delay. A call without a response in time is
+followed by one that may take longer, so that a slow discovery is heard too.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from typing import Any
 
 from lanelead.http.client import CallFailedError, call
+from lanelead.http.responses import HttpResponse
 from lanelead.protocols.feeds import EndpointListMessage, MessageError, decode
 from lanelead.protocols.platform import EndpointList, parse_address
 from lanelead.settings.service_settings import Address
@@ -20,7 +22,8 @@
 # How long discovery may hold a watch. It is far less than the 6 s after which the platform takes a change of the list
 # to be known to all relays, so that a watch which never gets a response is noticed in time.
 WATCH_HOLD_SECONDS = 2.0
-RESPONSE_GRACE_SECONDS = 0.5  # time for the response once the hold time is over
+RESPONSE_GRACE_SECONDS = 0.5  # time for the response once the hold time is over; doubled after each timeout
+MAX_RESPONSE_GRACE_SECONDS = 2.0  # within which the platform takes a change to be known, once the hold time is over
 RETRY_DELAY_SECONDS = 0.1  # after a failure, with jitter
 VERSION_RESET_SECONDS = 2.0  # after only outdated lists for this long, discovery has restarted its version numbers
 MAX_LIST_BYTES = 16 << 20
@@ -72,6 +75,7 @@
         # client, at the former address, goes on until this one's list is accepted, and each of that client's responses
         # would reset the time.
         self._outdated_since: float | None = None
+        self._response_grace_seconds = RESPONSE_GRACE_SECONDS
         self._next_rejection_log_at = 0.0  # rejected lists before this time are counted, but not logged
         self.on_received: Callable[[], None] = lambda: None
         self.connected = False
@@ -106,12 +110,12 @@
     async def _poll(self) -> None:
         """Makes one call: for a snapshot where one is needed, otherwise for changes since the known version."""
         path = b"/v1/endpoints"
-        timeout = RESPONSE_GRACE_SECONDS
+        hold_seconds = 0.0
         state = self._state
         if not self._snapshot_needed:
             path += b"?from=%d&hold_ms=%d" % (state.version, WATCH_HOLD_SECONDS * 1000)
-            timeout += WATCH_HOLD_SECONDS
-        response = await call(self._loop, self._address, "GET", path, b"", timeout)
+            hold_seconds = WATCH_HOLD_SECONDS
+        response = await self._call(path, hold_seconds)
         if response.status != 200:
             raise CallFailedError(f"status {response.status}")
         received = decode(response.body, EndpointList, MAX_LIST_BYTES)
@@ -132,6 +136,21 @@
         if received.full or received.entries:
             self._on_list(message)
 
+    async def _call(self, path: bytes, hold_seconds: float) -> HttpResponse:
+        """Makes a call that discovery may hold for a while; adapts the time that the next one may take beyond that."""
+        began = self._loop.time()
+        timeout = hold_seconds + self._response_grace_seconds
+        try:
+            response = await call(self._loop, self._address, "GET", path, b"", timeout)
+        except TimeoutError:
+            self._response_grace_seconds = min(2 * self._response_grace_seconds, MAX_RESPONSE_GRACE_SECONDS)
+            raise
+        took = self._loop.time() - began
+        beyond_hold = took - hold_seconds if took >= hold_seconds else took
+        if beyond_hold <= RESPONSE_GRACE_SECONDS / 2:
+            self._response_grace_seconds = RESPONSE_GRACE_SECONDS
+        return response
+
     def _record_failure(self, error: Exception) -> None:
         """Counts and logs an error if it is a rejected list; any error but an outdated list resets `_outdated_since`.
 
--- a/tests/test_discovery_moves.py
+++ b/tests/test_discovery_moves.py
@@ -290,6 +290,22 @@
             self.assertLess(elapsed, discovery_client.WATCH_HOLD_SECONDS + 2)
             self.assertGreaterEqual(elapsed, discovery_client.WATCH_HOLD_SECONDS)
 
+    @run_on_uvloop
+    async def test_a_discovery_that_answers_late_is_heard(self) -> None:
+        # Guards against calls that are given up one after another, each before its response comes (review/6).
+        async def respond_late(call: DiscoveryCall) -> None:
+            await asyncio.sleep(0.35)
+            if not call.ended.is_set():
+                call.respond(11, entry(env.endpoints[0]), entry(env.endpoints[1], state="leaving"))
+
+        with mock.patch.multiple(discovery_client, WATCH_HOLD_SECONDS=SHORT_HOLD_SECONDS, RESPONSE_GRACE_SECONDS=0.2):
+            async with relay_with_discovery(ScriptedEndpoint("u0"), ScriptedEndpoint("u1")) as (env, emulator, _):
+                responses = []
+                async with asyncio.timeout(5):
+                    while endpoint_status(env, "u1") != "draining":
+                        responses.append(asyncio.create_task(respond_late(await emulator.next())))
+                await asyncio.gather(*responses)
+
     @run_on_uvloop
     async def test_outdated_lists_with_timeouts_between_them_are_not_accepted(self) -> None:
         with mock.patch.multiple(discovery_client, WATCH_HOLD_SECONDS=SHORT_HOLD_SECONDS, VERSION_RESET_SECONDS=0.5):
