Over HTTP a connection rests for 10 ms before it is used again

Cause: a connection was offered again at once, and what came next was taken for the response to the attempt on it.

Change: it rests as on the platform, with one timer for all, and is looked at for unread bytes right before it is used. The function that looks moved to lanelead/runtime/peer_close.py, since both relays use it. One test of a stalled client waits for the rest between its requests now; its check is the same.

--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,7 +13,9 @@
 from lanelead.decisions.interface import Attempt, Endpoint
 from lanelead.http.responses import HttpResponse, Progress, ResponseReader
 from lanelead.runtime.destination import Destination
+from lanelead.runtime.peer_close import is_idle_socket
 
+REUSE_DELAY_SECONDS = 0.01  # before a connection is used again: a second copy of a response may follow the first one
 BUFFER_BYTES = 16384  # maximum size of one read
 MAX_SPARE_BUFFERS = 256
 
@@ -80,7 +83,8 @@
     def __init__(self, destination: Destination) -> None:
         self.destination = destination
         self.idle: list[UpstreamConnection] = []  # the most recently used one last
-        self.in_use = 0  # number of connections in use, being opened or being closed
+        self.resting: dict[UpstreamConnection, None] = {}  # returned less than REUSE_DELAY_SECONDS ago
+        self.in_use = 0  # number of connections in use, resting, being opened or being closed
         self.replaced = False  # whether the endpoint has moved to another address or incarnation
         self.freed: asyncio.Event | None = None  # set when a connection is returned or closed; None: nobody has waited
 
@@ -110,6 +114,7 @@
         self._log = log
         self._pools: dict[Endpoint, EndpointPool] = {}
         self._spare_buffers: list[bytearray] = []
+        self._resting: deque[tuple[float, UpstreamConnection]] = deque()  # with the time at which each may be used
         self._reader_tasks: set[asyncio.Task[None]] = set()
         self.opened = 0
         self.reused = 0
@@ -126,12 +131,18 @@
         return pool
 
     def take_idle(self, pool: EndpointPool) -> UpstreamConnection | None:
-        """Takes the most recently used idle connection out of a pool, or returns None."""
-        if not pool.idle:
-            return None
-        pool.in_use += 1
-        self.reused += 1
-        return pool.idle.pop()
+        """Takes the most recently used idle connection out of a pool, or returns None.
+
+        Closes connections on which unsolicited bytes have arrived or which the endpoint has closed.
+        """
+        while pool.idle:
+            connection = pool.idle.pop()
+            pool.in_use += 1
+            if is_idle_socket(connection.sock):
+                self.reused += 1
+                return connection
+            self.close(connection)
+        return None
 
     async def open(self, pool: EndpointPool) -> UpstreamConnection | None:
         """Opens a connection, or takes one that is returned while the pool is full; None if neither works in time."""
@@ -212,6 +223,7 @@
         self.connection_failed(connection)
         connection.closed = True
         pool = connection.pool
+        pool.resting.pop(connection, None)
         if connection in pool.idle:
             pool.idle.remove(connection)
         else:
@@ -240,8 +252,28 @@
             self._response_received(connection, None, False)
 
     def return_connection(self, connection: UpstreamConnection) -> None:
-        """Returns a connection to the idle ones of its pool."""
+        """Returns a connection to the idle ones of its pool, after REUSE_DELAY_SECONDS."""
+        connection.pool.resting[connection] = None
+        self._resting.append((self._loop.time() + REUSE_DELAY_SECONDS, connection))
+        if len(self._resting) == 1:
+            self._loop.call_later(REUSE_DELAY_SECONDS, self._end_rests)
+
+    def _end_rests(self) -> None:
+        """Offers the connections that have rested long enough, all with one timer."""
+        now = self._loop.time()
+        while self._resting and self._resting[0][0] <= now:
+            self._end_rest(self._resting.popleft()[1])
+        if self._resting:
+            self._loop.call_later(max(0.001, self._resting[0][0] - now), self._end_rests)
+
+    def _end_rest(self, connection: UpstreamConnection) -> None:
         pool = connection.pool
+        if connection not in pool.resting:  # closed meanwhile
+            return
+        del pool.resting[connection]
+        if pool.replaced:
+            self.close(connection)
+            return
         pool.in_use -= 1
         connection.idle_since = self._loop.time()
         pool.idle.append(connection)
@@ -255,9 +287,11 @@
 
     def _close_all_idle(self, pool: EndpointPool) -> None:
         idle = pool.idle
+        resting = list(pool.resting)
         pool.idle = []
+        pool.resting.clear()
         pool.in_use += len(idle)  # they count as in use until their reading tasks have ended
-        for connection in idle:
+        for connection in (*idle, *resting):
             self.close(connection)
 
     def close_idle(self, endpoint: Endpoint) -> None:
--- a/lanelead/postgres_relay/client_connection.py
+++ b/lanelead/postgres_relay/client_connection.py
@@ -17,8 +17,8 @@
 from lanelead.pgwire.clients import EncryptionRequest, ProtocolViolation, Query, Startup
 from lanelead.pgwire.statements import Statement
 from lanelead.postgres_relay.connection_owner import ConnectionOwner, ResponseSlot
-from lanelead.postgres_relay.load_reports import is_idle_socket
 from lanelead.postgres_relay.request_intake import OverLimit, ReceivedCommand, RequestIntake
+from lanelead.runtime.peer_close import is_idle_socket
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 
 MAX_PIPELINED_REQUESTS = 128  # pending responses of one connection; further requests are rejected
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -25,14 +25,13 @@
     TOO_MANY_CONNECTIONS,
     ClientConnection,
 )
-from lanelead.postgres_relay.load_reports import is_idle_socket
 from lanelead.postgres_relay.request_intake import READ_BUFFER_BYTES
 from lanelead.runtime.abandoned_requests import AbandonedRequests
 from lanelead.runtime.buffer_budget import BufferBudget
 from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.executed_request_ids import ExecutedRequestIds
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
-from lanelead.runtime.peer_close import PeerCloseMonitor
+from lanelead.runtime.peer_close import PeerCloseMonitor, is_idle_socket
 from lanelead.runtime.pending_requests import RequestOutcome
 
 SILENCE_TIMEOUT_SECONDS = 2.0  # without a byte of the first request, or of the rest of a message
--- a/lanelead/postgres_relay/connection_pool.py
+++ b/lanelead/postgres_relay/connection_pool.py
@@ -14,8 +14,8 @@
 
 from lanelead.decisions.interface import Attempt, Endpoint, EndpointStatus
 from lanelead.pgwire.servers import ServerReader
-from lanelead.postgres_relay.load_reports import is_idle_socket
 from lanelead.runtime.destination import Destination
+from lanelead.runtime.peer_close import is_idle_socket
 
 IDLE_LIMIT_FACTOR = 0.6  # share of the endpoint's own idle timeout, so that the relay closes the connection first
 REUSE_DELAY_SECONDS = 0.01  # duplicated responses arrive 2 to 3 ms late
--- a/lanelead/postgres_relay/load_reports.py
+++ b/lanelead/postgres_relay/load_reports.py
@@ -1,9 +1,8 @@
-"""Parses endpoints' load reports, and checks whether a socket has anything to read."""
+"""Parses endpoints' load reports."""
 
 from __future__ import annotations
 
 import math
-import socket
 
 from lanelead.decisions.interface import LoadReport
 
@@ -28,14 +27,3 @@
         if field in names:
             report[field] = value
     return report or None
-
-
-def is_idle_socket(sock: socket.socket) -> bool:
-    """Returns whether no bytes wait to be read and the peer has not closed the connection."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except (BlockingIOError, InterruptedError):
-        return True
-    except OSError:
-        pass
-    return False
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -21,8 +21,9 @@
     PoolLimits,
     UpstreamConnection,
 )
-from lanelead.postgres_relay.load_reports import is_idle_socket, parse_load_report
+from lanelead.postgres_relay.load_reports import parse_load_report
 from lanelead.runtime.driver import DecisionDriver
+from lanelead.runtime.peer_close import is_idle_socket
 from lanelead.runtime.pending_requests import PendingRequest
 
 READ_BUFFER_BYTES = 65536
--- a/lanelead/runtime/peer_close.py
+++ b/lanelead/runtime/peer_close.py
@@ -1,4 +1,4 @@
-"""Notices that a peer has closed its connection although bytes that it sent before are still unread (poll(2))."""
+"""Tells whether a peer has closed its connection, although bytes that it sent before may still be unread."""
 
 from __future__ import annotations
 
@@ -28,6 +28,17 @@
         return True
 
 
+def is_idle_socket(sock: socket.socket) -> bool:
+    """Returns whether no bytes wait to be read and the peer has not closed the connection."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        pass
+    return False
+
+
 class PeerCloseMonitor:
     """Checks a few times a second whether the peers of sockets that are not being read have closed them.
 
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -8,6 +8,7 @@
 
 from lanelead.decisions.interface import EndpointStatus
 from lanelead.http import serialization
+from lanelead.http_relay.connection_pool import REUSE_DELAY_SECONDS
 from tests.http_relay_environment import (
     Client,
     Handler,
@@ -282,6 +283,7 @@
             while not state_of(env)["succeeded"]:
                 await asyncio.sleep(0.01)
             for _ in range(3):
+                await asyncio.sleep(2 * REUSE_DELAY_SECONDS)
                 self.assertEqual((await other.ask("POST", "/small", b"b"))[2], b"small")
             self.assertEqual(endpoint.connections, 1)
 
