--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -18,6 +18,7 @@
 REUSE_DELAY_SECONDS = 0.01  # before a connection is used again: a second copy of a response may follow the first one
 BUFFER_BYTES = 16384  # maximum size of one read
 MAX_SPARE_BUFFERS = 256
+TIMER_RESOLUTION_SECONDS = 0.001  # of the event loop (uvloop)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -83,8 +84,8 @@
     def __init__(self, destination: Destination) -> None:
         self.destination = destination
         self.idle: list[UpstreamConnection] = []  # the most recently used one last
-        self.resting: dict[UpstreamConnection, None] = {}  # returned less than REUSE_DELAY_SECONDS ago
-        self.in_use = 0  # number of connections in use, resting, being opened or being closed
+        self.delayed: dict[UpstreamConnection, None] = {}  # returned less than REUSE_DELAY_SECONDS ago
+        self.in_use = 0  # number of connections in use, delayed, being opened or being closed
         self.replaced = False  # whether the endpoint has moved to another address or incarnation
         self.freed: asyncio.Event | None = None  # set when a connection is returned or closed; None: nobody has waited
 
@@ -114,7 +115,7 @@
         self._log = log
         self._pools: dict[Endpoint, EndpointPool] = {}
         self._spare_buffers: list[bytearray] = []
-        self._resting: deque[tuple[float, UpstreamConnection]] = deque()  # with the time at which each may be used
+        self._reuse_queue: deque[tuple[float, UpstreamConnection]] = deque()  # with the time at which each may be used
         self._reader_tasks: set[asyncio.Task[None]] = set()
         self.opened = 0
         self.reused = 0
@@ -223,7 +224,7 @@
         self.connection_failed(connection)
         connection.closed = True
         pool = connection.pool
-        pool.resting.pop(connection, None)
+        pool.delayed.pop(connection, None)
         if connection in pool.idle:
             pool.idle.remove(connection)
         else:
@@ -253,24 +254,24 @@
 
     def return_connection(self, connection: UpstreamConnection) -> None:
         """Returns a connection to the idle ones of its pool, after REUSE_DELAY_SECONDS."""
-        connection.pool.resting[connection] = None
-        self._resting.append((self._loop.time() + REUSE_DELAY_SECONDS, connection))
-        if len(self._resting) == 1:
-            self._loop.call_later(REUSE_DELAY_SECONDS, self._end_rests)
+        connection.pool.delayed[connection] = None
+        self._reuse_queue.append((self._loop.time() + REUSE_DELAY_SECONDS, connection))
+        if len(self._reuse_queue) == 1:
+            self._loop.call_later(REUSE_DELAY_SECONDS, self._end_reuse_delays)
 
-    def _end_rests(self) -> None:
-        """Offers the connections that have rested long enough, all with one timer."""
+    def _end_reuse_delays(self) -> None:
+        """Makes the connections idle whose delay has ended; one timer serves them all."""
         now = self._loop.time()
-        while self._resting and self._resting[0][0] <= now:
-            self._end_rest(self._resting.popleft()[1])
-        if self._resting:
-            self._loop.call_later(max(0.001, self._resting[0][0] - now), self._end_rests)
+        while self._reuse_queue and self._reuse_queue[0][0] <= now:
+            self._make_idle(self._reuse_queue.popleft()[1])
+        if self._reuse_queue:
+            self._loop.call_later(max(TIMER_RESOLUTION_SECONDS, self._reuse_queue[0][0] - now), self._end_reuse_delays)
 
-    def _end_rest(self, connection: UpstreamConnection) -> None:
+    def _make_idle(self, connection: UpstreamConnection) -> None:
         pool = connection.pool
-        if connection not in pool.resting:  # closed meanwhile
+        if connection not in pool.delayed:  # closed meanwhile
             return
-        del pool.resting[connection]
+        del pool.delayed[connection]
         if pool.replaced:
             self.close(connection)
             return
@@ -287,11 +288,11 @@
 
     def _close_all_idle(self, pool: EndpointPool) -> None:
         idle = pool.idle
-        resting = list(pool.resting)
+        delayed = list(pool.delayed)
         pool.idle = []
-        pool.resting.clear()
+        pool.delayed.clear()
         pool.in_use += len(idle)  # they count as in use until their reading tasks have ended
-        for connection in (*idle, *resting):
+        for connection in (*idle, *delayed):
             self.close(connection)
 
     def close_idle(self, endpoint: Endpoint) -> None:
--- a/lanelead/postgres_relay/discovery_client.py
+++ b/lanelead/postgres_relay/discovery_client.py
@@ -3,7 +3,7 @@
 A call without a version is answered at once with a snapshot of the list. A watch is a call with the known version,
 which discovery holds without a response until the list changes or the hold time is over. After a success the next
 watch is made at once; after a failure a snapshot is fetched after a short delay. A call without a response in time is
-followed by one that may take longer, so that a slow discovery is heard too.
+followed by one that may take longer, so that the responses of a slow discovery are received too.
 """
 
 from __future__ import annotations
--- a/tests/test_discovery_moves.py
+++ b/tests/test_discovery_moves.py
@@ -291,7 +291,7 @@
             self.assertGreaterEqual(elapsed, discovery_client.WATCH_HOLD_SECONDS)
 
     @run_on_uvloop
-    async def test_a_discovery_that_answers_late_is_heard(self) -> None:
+    async def test_responses_of_a_slow_discovery_are_received(self) -> None:
         # Guards against calls that are given up one after another, each before its response comes (review/6).
         async def respond_late(call: DiscoveryCall) -> None:
             await asyncio.sleep(0.35)
--- a/tests/test_http_connection_reuse.py
+++ b/tests/test_http_connection_reuse.py
@@ -42,8 +42,8 @@
 
 
 async def until_none_is_in_use(env: RelayEnvironment) -> None:
-    """Waits until no connection to an endpoint is in use, resting or being closed."""
-    while any(pool.in_use or pool.resting for pool in env.relay.upstream.pools._pools.values()):
+    """Waits until no connection to an endpoint is in use, delayed or being closed."""
+    while any(pool.in_use or pool.delayed for pool in env.relay.upstream.pools._pools.values()):
         await asyncio.sleep(0.01)
 
 
