--- a/tests/abuse/measurement.py
+++ b/tests/abuse/measurement.py
@@ -12,9 +12,10 @@
 from random import Random
 
 from tests.abuse.endpoints import LARGE_ANSWER_PREFIX, AttemptKind
+from tests.abuse.process_memory import ProcessUsage, watch_usage
 from tests.abuse.regular_clients import Answer, RegularAnswers, RegularClient
 from tests.abuse.requests import RelayKind
-from tests.abuse.surroundings import MEMORY_LIMIT_MB, ROOT, Attempt, RelayUnderTest, relay_under_test
+from tests.abuse.surroundings import MOST, ROOT, Attempt, GivenLimits, RelayUnderTest, relay_under_test
 
 REGULAR_CLIENTS = 24
 PAUSE_SECONDS = 0.1
@@ -41,7 +42,8 @@
 
     kind: RelayKind
     pattern: str
-    peak_memory_mb: float = 0.0
+    limits: GivenLimits = MOST
+    usage: ProcessUsage = field(default_factory=ProcessUsage)
     baseline: RegularAnswers = field(default_factory=RegularAnswers)
     regular: RegularAnswers = field(default_factory=RegularAnswers)
     sent_after_close: list[tuple[str, float]] = field(default_factory=list)
@@ -55,7 +57,8 @@
         counts = self.regular.counts
         checks = {
             "the relay has ended": not self.running,
-            "too much memory": self.peak_memory_mb > MEMORY_LIMIT_MB,
+            "too much memory": self.usage.total_bytes > self.limits.memory_mb * 1_000_000,
+            "too many descriptors": self.usage.descriptors > self.limits.descriptors,
             "no regular request was served": not counts[Answer.SERVED],
             "regular requests without an answer": counts[Answer.NEVER] + counts[Answer.CLOSED] > 0,
             "regular requests failed": counts[Answer.FAILED] > 0,
@@ -71,7 +74,8 @@
         answers = ", ".join(f"{regular.counts[answer]} {answer.value}" for answer in Answer if regular.counts[answer])
         latest = max((seconds for _, seconds in self.sent_after_close), default=0.0)
         return (
-            f"{self.kind:8} | {self.pattern} | {self.peak_memory_mb:.0f} MB | {answers}; foreign {regular.foreign} | "
+            f"{self.kind:8} | {self.pattern} | {self.limits.memory_mb}/{self.limits.descriptors} | "
+            f"{self.usage.line()} | {answers}; foreign {regular.foreign} | "
             f"p99 {regular.percentile_ms(0.99):.0f} ms, longest {regular.longest_ms():.0f} ms | "
             f"{len(self.sent_after_close)} after the close (latest {latest:.2f} s) | "
             f"{len(self.repeated)} of {self.writes} executed twice | "
@@ -80,19 +84,24 @@
 
 
 async def measure_relay(
-    kind: RelayKind, pattern: str, seconds: float, seed: int = 1, baseline_seconds: float = 1.0
+    kind: RelayKind,
+    pattern: str,
+    seconds: float,
+    seed: int = 1,
+    baseline_seconds: float = 1.0,
+    limits: GivenLimits = MOST,
 ) -> Measurement:
     """Runs a pattern for `seconds`, after `baseline_seconds` with regular clients alone."""
-    measured = Measurement(kind, pattern)
+    measured = Measurement(kind, pattern, limits)
     with tempfile.TemporaryDirectory() as folder:
-        async with relay_under_test(kind, Path(folder)) as relay:
+        async with relay_under_test(kind, Path(folder), limits) as relay:
+            watching = asyncio.create_task(watch_usage(relay.process.pid, measured.usage))
             await _regular_clients(relay, measured.baseline, baseline_seconds, seed, "baseline")
             regular = asyncio.create_task(_regular_clients(relay, measured.regular, seconds + 1.0, seed, "regular"))
             left = await _abusive_clients(relay, measured, pattern, seconds)
             await regular
             measured.running = relay.process.returncode is None
-            if measured.running:
-                measured.peak_memory_mb = relay.peak_memory_mb()
+            watching.cancel()
             _evaluate_attempts(await relay.read_attempts(), measured, left)
     return measured
 
--- a/tests/abuse/surroundings.py
+++ b/tests/abuse/surroundings.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import os
-import re
 import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -19,8 +18,6 @@
 from tests.postgres_platform import Platform, free_port
 from tests.scripted_endpoints import ScriptedEndpoint
 
-MAX_DESCRIPTORS = 1024
-MEMORY_LIMIT_MB = 192
 MAX_IN_FLIGHT = 26_666  # requests of a relay, as on the operators' site
 ENDPOINTS = 4
 ENDPOINT_PROCESSES = 2
@@ -30,6 +27,17 @@
 resource.setrlimit(resource.RLIMIT_NOFILE, (n, n)); runpy.run_module('lanelead', run_name='__main__')"
 
 
+@dataclass(frozen=True)
+class GivenLimits:
+    """What a relay's process may take, as its settings say."""
+
+    memory_mb: int
+    descriptors: int
+
+
+MOST = GivenLimits(memory_mb=192, descriptors=1024)
+
+
 @dataclass(frozen=True)
 class Attempt:
     """An attempt that an endpoint has received. `at` is on the system's monotonic clock, in seconds."""
@@ -42,30 +50,24 @@
 class RelayUnderTest:
     """A relay's process, and what its endpoints have recorded."""
 
-    def __init__(self, kind: RelayKind) -> None:
+    def __init__(self, kind: RelayKind, limits: GivenLimits) -> None:
         self.kind = kind
+        self.limits = limits
         self.port = 0
         self.attempt_files: list[Path] = []
         self.endpoint_ports: list[int] = []
         self.process: asyncio.subprocess.Process
         self.log_file: Path
 
-    def peak_memory_mb(self) -> float:
-        """Returns the largest resident size of the process so far (proc(5), VmHWM), in units of 10^6 bytes."""
-        text = Path(f"/proc/{self.process.pid}/status").read_text()
-        found = re.search(r"VmHWM:\s+(\d+) kB", text)
-        assert found is not None
-        return int(found.group(1)) * 1024 / 1e6
-
     async def start(self, folder: Path, *arguments: str, **variables: str) -> None:
-        """Starts the process, with the pages' limit of descriptors, and waits until it listens."""
+        """Starts the process, with its limit of descriptors, and waits until it listens."""
         self.log_file = folder / "relay.log"
         with self.log_file.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-c",
                 RUN_WITH_LIMIT,
-                str(MAX_DESCRIPTORS),
+                str(self.limits.descriptors),
                 *arguments,
                 stdout=asyncio.subprocess.DEVNULL,
                 stderr=log,
@@ -94,9 +96,9 @@
 
 
 @contextlib.asynccontextmanager
-async def relay_under_test(kind: RelayKind, folder: Path) -> AsyncIterator[RelayUnderTest]:
+async def relay_under_test(kind: RelayKind, folder: Path, limits: GivenLimits = MOST) -> AsyncIterator[RelayUnderTest]:
     """Runs a relay's process with endpoints, discovery and a rollout platform."""
-    relay = RelayUnderTest(kind)
+    relay = RelayUnderTest(kind, limits)
     async with _endpoint_processes(relay, folder):
         opened = _postgres_relay(relay, folder) if kind is RelayKind.POSTGRES else _http_relay(relay, folder)
         async with opened:
@@ -137,13 +139,13 @@
 @contextlib.asynccontextmanager
 async def _postgres_relay(relay: RelayUnderTest, folder: Path) -> AsyncIterator[None]:
     endpoints = [ListedEndpoint(f"u{number}", port) for number, port in enumerate(relay.endpoint_ports)]
-    env = Platform(folder, [*endpoints], MAX_DESCRIPTORS)
+    env = Platform(folder, [*endpoints], relay.limits.descriptors)
     await env.open()  # with a relay in this process, which is not used
     try:
         config = json.loads((folder / "config.json").read_text())
         relay.port = free_port()
         config |= {"listen": f"127.0.0.1:{relay.port}", "peer_listen": "", "peers": []}
-        config["limits"]["memory_mb"] = MEMORY_LIMIT_MB
+        config["limits"]["memory_mb"] = relay.limits.memory_mb
         config["settings"]["allowed"]["openCap"] = MAX_IN_FLIGHT
         file = folder / "other.json"
         file.write_text(json.dumps(config))
