--- a/lanelead/http_relay/main.py
+++ b/lanelead/http_relay/main.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
-import sys
+import os
 
 import uvloop
 
@@ -11,6 +12,7 @@
 from lanelead.logs import logger
 from lanelead.settings.relay_settings import RelaySettings
 
+STANDARD_OUTPUT_DESCRIPTOR = 1
 GC_THRESHOLDS = (20_000, 20, 100)  # for gc.set_threshold
 
 
@@ -19,8 +21,8 @@
     log = logger(log_format)
 
     def ready(host: str, port: int) -> None:
-        sys.stdout.write(f"ready {host} {port}\n")
-        sys.stdout.flush()
+        with contextlib.suppress(OSError):  # nobody may read it, or the disk may be full
+            os.write(STANDARD_OUTPUT_DESCRIPTOR, f"ready {host} {port}\n".encode())
 
     # The objects created so far live as long as the process. Without the freeze the garbage collector would traverse
     # them repeatedly, which takes tens of milliseconds each time, while requests wait.
--- a/tests/abuse/surroundings.py
+++ b/tests/abuse/surroundings.py
@@ -22,9 +22,9 @@
 ENDPOINTS = 4
 ENDPOINT_PROCESSES = 2
 ROOT = Path(__file__).parents[2]
-# Runs lanelead with the limit of open file descriptors in the first argument.
-RUN_WITH_LIMIT = "import resource, runpy, sys; n = int(sys.argv.pop(1)); \
-resource.setrlimit(resource.RLIMIT_NOFILE, (n, n)); runpy.run_module('lanelead', run_name='__main__')"
+# Runs a module with the limit of open file descriptors in the first argument.
+RUN_WITH_LIMIT = "import os, resource, sys; n = int(sys.argv[1]); resource.setrlimit(resource.RLIMIT_NOFILE, (n, n)); \
+os.execv(sys.executable, [sys.executable, '-m', *sys.argv[2:]])"
 
 
 @dataclass(frozen=True)
@@ -57,11 +57,11 @@
         self.attempt_files: list[Path] = []
         self.endpoint_ports: list[int] = []
         self.process: asyncio.subprocess.Process
-        self.log_file: Path
+        self.log_file: Path | None = None
 
     async def start(self, folder: Path, *arguments: str, **variables: str) -> None:
-        """Starts the process, with its limit of descriptors, and waits until it listens."""
-        self.log_file = folder / "relay.log"
+        """Starts the process, with its limit of descriptors, and waits until it accepts connections."""
+        self.log_file = self.log_file or folder / "relay.log"
         with self.log_file.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -73,11 +73,25 @@
                 stderr=log,
                 env={**os.environ, "PYTHONPATH": str(ROOT), **variables},
             )
-        while b'"listening"' not in self.log_file.read_bytes():
+        while not await self._accepts():
             if self.process.returncode is not None:
-                raise AssertionError(self.log_file.read_text())
+                raise AssertionError(f"the relay ended with {self.process.returncode}, see {self.log_file}")
             await asyncio.sleep(0.02)
 
+    async def _accepts(self) -> bool:
+        """Returns whether the relay accepts a connection, which is closed at once."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    async def stop_gracefully(self) -> int:
+        """Sends SIGTERM and waits for the end; returns the exit code."""
+        self.process.terminate()
+        return await self.process.wait()
+
     async def stop(self) -> None:
         """Kills the process."""
         with contextlib.suppress(ProcessLookupError):
@@ -96,9 +110,12 @@
 
 
 @contextlib.asynccontextmanager
-async def relay_under_test(kind: RelayKind, folder: Path, limits: GivenLimits = MOST) -> AsyncIterator[RelayUnderTest]:
-    """Runs a relay's process with endpoints, discovery and a rollout platform."""
+async def relay_under_test(
+    kind: RelayKind, folder: Path, limits: GivenLimits = MOST, log: Path | None = None
+) -> AsyncIterator[RelayUnderTest]:
+    """Runs a relay's process with endpoints, discovery and a rollout platform; it logs to `log`."""
     relay = RelayUnderTest(kind, limits)
+    relay.log_file = log
     async with _endpoint_processes(relay, folder):
         opened = _postgres_relay(relay, folder) if kind is RelayKind.POSTGRES else _http_relay(relay, folder)
         async with opened:
@@ -149,7 +166,7 @@
         config["settings"]["allowed"]["openCap"] = MAX_IN_FLIGHT
         file = folder / "other.json"
         file.write_text(json.dumps(config))
-        await relay.start(folder, "node", NODE_CONFIG=str(file))
+        await relay.start(folder, "lanelead.postgres_relay", NODE_CONFIG=str(file))
         yield
     finally:
         await env.close()
@@ -176,5 +193,5 @@
         relay.port = free_port()
         settings = http_environment.SETTINGS.replace(", MORE", "") % (roster.port, desk.port)
         (folder / "relay.cue").write_text(settings.replace("listen: port: 0", f"listen: port: {relay.port}"))
-        await relay.start(folder, "relay", "--settings", str(folder / "relay.cue"))
+        await relay.start(folder, "lanelead", "relay", "--settings", str(folder / "relay.cue"))
         yield
