Relays run without OpenSSL, and the one on the platform without click

An idle relay on the platform took 32.97 MB on (arm64, VmHWM), of 32 MB in its settings.

Cause, by resident size before and after each import: ssl and hashlib (OpenSSL) 4.5 MB, structlog 2.0 to 2.8 MB, click 1.2 MB. uvloop and asyncio import ssl whether or not TLS is used, and no relay does.

--- a/lanelead/cli.py
+++ b/lanelead/cli.py
@@ -84,6 +84,9 @@
 @click.option("--console", is_flag=True, help="Log readable text instead of JSON lines.")
 def relay(settings: str, console: bool) -> None:
     """Runs a relay until SIGTERM; it then drains and exits with 0. A second SIGTERM ends it at once."""
+    from lanelead.runtime.without_openssl import import_event_loop
+
+    import_event_loop()
     from lanelead.http_relay.main import run
     from lanelead.settings.errors import SettingsError
     from lanelead.settings.read import read
@@ -104,6 +107,9 @@
 @click.option("--console", is_flag=True, help="Log readable text instead of JSON lines.")
 def node(console: bool) -> None:
     """Runs the relay whose configuration file the environment variable NODE_CONFIG names, until SIGTERM."""
+    from lanelead.runtime.without_openssl import import_event_loop
+
+    import_event_loop()
     from lanelead.postgres_relay.main import run
 
     run("console" if console else "json")
--- a/tests/relay_processes.py
+++ b/tests/relay_processes.py
@@ -70,8 +70,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "lanelead",
-        "node",
+        "lanelead.postgres_relay",
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "NODE_CONFIG": str(file)},
