Connections to endpoints keep nothing of their last response while they rest

Each idle connection to an endpoint kept its last response three times (the parts, the joined text and a copy of the value), up to 200 KB; at the relay over HTTP the body twice, up to 4 MB, also in a local variable of its reading task.

Change: take_response hands the response over, and the value is cut out of it where somebody asks.

--- a/lanelead/http/responses.py
+++ b/lanelead/http/responses.py
@@ -109,6 +109,18 @@
             self._finish(False)
         return Progress.COMPLETE if self.response is not None else Progress.INVALID
 
+    def take_response(self) -> HttpResponse:
+        """Returns the complete response, of which the reader keeps nothing: its connection may rest for a long time."""
+        response = self.response
+        assert response is not None
+        self.expect(False)
+        return response
+
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of a body, complete or not, are kept."""
+        return self._body_bytes
+
     @property
     def begun(self) -> bool:
         """Whether any part of the response has been received."""
--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -208,8 +208,8 @@
                 progress = connection.reader.feed(view[:size]) if size else connection.reader.eof()
                 if progress is Progress.WAITING:
                     continue
-                response = connection.reader.response if progress is Progress.COMPLETE else None
-                self._response_received(connection, response, size > 0)
+                complete = progress is Progress.COMPLETE
+                self._response_received(connection, connection.reader.take_response() if complete else None, size > 0)
                 if connection.closed:
                     break
         except OSError:
--- a/lanelead/pgwire/servers.py
+++ b/lanelead/pgwire/servers.py
@@ -16,6 +16,7 @@
 COLUMN_COUNT = Struct("!h")
 COLUMN_COUNT_AND_SIZE = Struct("!hi")
 IGNORED_MESSAGES = frozenset(b"NA")  # NoticeResponse and NotificationResponse, which may come at any time
+VALUE_OFFSET = 11  # of the value in a DataRow: type, length, column count, the value's size
 RESPONSE_MESSAGES = frozenset(b"TDCE")
 CONTROL_MESSAGES = frozenset(b"ZSRKNA")
 
@@ -46,8 +47,8 @@
     ----------
     raw
         The messages of the row, from RowDescription to CommandComplete. Empty for an error.
-    value
-        The value of the row's only column.
+    value_range
+        Where in `raw` the value of the row's only column begins and ends; None for an error.
     error_code
         The error's SQLSTATE code; None for a row.
     error_text
@@ -57,11 +58,19 @@
     """
 
     raw: bytes = b""
-    value: bytes | None = None
+    value_range: tuple[int, int] | None = None
     error_code: str | None = None
     error_text: str = ""
     report: bytes | None = None
 
+    @property
+    def value(self) -> bytes | None:
+        """The value of the row's only column; None for an error."""
+        if self.value_range is None:
+            return None
+        start, end = self.value_range
+        return self.raw[start:end]
+
 
 def error_fields(body: bytes) -> dict[str, str] | None:
     """Returns an ErrorResponse's fields by type letter, or None if the body is malformed."""
@@ -88,7 +97,7 @@
     ready
         Whether the endpoint has accepted the connection and no query is in flight.
     response
-        The complete response to the last query, or None.
+        The complete response to the last query, or None; `take_response` removes it.
     reason
         Why the endpoint's bytes were malformed.
     """
@@ -100,6 +109,7 @@
         self.ready = False
         self._awaiting_response = False
         self._raw: list[bytes] = []
+        self._raw_bytes = 0
         self._result = QueryResult()
         self.response: QueryResult | None = None
         self.reason = ""
@@ -109,14 +119,39 @@
         """Whether part of a response was received."""
         return bool(self._buffer or self._raw)
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of an incomplete response, or of one that was not taken, are kept."""
+        held = len(self._buffer) + self._raw_bytes
+        return held if self.response is None else held + len(self.response.raw)
+
+    @property
+    def expected_bytes(self) -> int:
+        """The size of an incomplete response, as far as it was announced; 0 if there is none."""
+        buffer = self._buffer
+        announced = 1 + LENGTH.unpack_from(buffer, 1)[0] if len(buffer) >= 5 else len(buffer)
+        return self._raw_bytes + int(announced)
+
+    def take_response(self) -> QueryResult:
+        """Returns the complete response, of which the reader keeps nothing: its connection may rest for a long time."""
+        response = self.response
+        assert response is not None
+        self.response = None
+        self._result = QueryResult()
+        return response
+
     def begin_response(self) -> None:
         """Prepares for the response to a query; to be called when the query is sent."""
         self._awaiting_response = True
         self.ready = False
-        self._raw = []
+        self._clear_raw()
         self._result = QueryResult()
         self.response = None
 
+    def _clear_raw(self) -> None:
+        self._raw = []
+        self._raw_bytes = 0
+
     def feed(self, data: bytes) -> Progress:
         """Parses received bytes, in pieces of any size, and returns the state that they lead to."""
         data = self._buffer + data if self._buffer else data
@@ -196,8 +231,10 @@
         if not self._accept_row_message(kind, data, body, stop):
             return False
         self._raw.append(data[start:stop])
+        self._raw_bytes += stop - start
         if kind == COMMAND_COMPLETE:
             self._result.raw = b"".join(self._raw)
+            self._clear_raw()
             self.response = self._result
         return True
 
@@ -214,7 +251,8 @@
             columns, size = COLUMN_COUNT_AND_SIZE.unpack_from(data, body)
             if columns != 1 or size != stop - body - 6:
                 return False
-            self._result.value = data[body + 6 : stop]
+            start = self._raw_bytes + VALUE_OFFSET
+            self._result.value_range = start, start + size
             return True
         tag = data[body:stop]
         return position == 2 and tag.startswith((b"SELECT ", b"INSERT ", b"SHOW")) and tag.find(b"\0") == len(tag) - 1
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -225,8 +225,7 @@
         self._keep_idle(connection)
 
     def _on_response(self, connection: UpstreamConnection) -> None:
-        result = connection.reader.response
-        assert result is not None
+        result = connection.reader.take_response()
         attempt = connection.attempt
         connection.attempt = None
         health_check = connection.health_check
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -158,6 +158,7 @@
                 self.assertIs(progress, Progress.COMPLETE, text)
                 assert reader.response is not None
                 self.assertEqual((reader.response.body, reader.response.keep), (body, keep))
+                self.assertEqual((reader.take_response().body, reader.held_bytes, reader.response), (body, 0, None))
         progress, reader = self.read(b"HTTP/1.1 200 OK\r\n\r\nab")
         self.assertEqual(
             (progress, reader.eof(), reader.response and reader.response.body),
--- a/tests/test_pgwire.py
+++ b/tests/test_pgwire.py
@@ -129,6 +129,15 @@
         self.assertEqual((reader.response.value, reader.response.raw), (b"\x00\xffvalue", row(b"\x00\xffvalue")))
         self.assertEqual((reader.response.report, reader.ready), (b"inflight=7,util=0.5", True))
 
+    def test_a_connection_that_rests_keeps_nothing_of_its_last_response(self) -> None:
+        reader = server_reader()
+        reader.feed(RESPONSE[:-20])
+        self.assertGreater(reader.held_bytes, 0)
+        reader.feed(RESPONSE[-20:])
+        self.assertEqual(reader.take_response().value, b"\x00\xffvalue")
+        self.assertEqual((reader.held_bytes, reader.response, reader.ready), (0, None, True))
+        self.assertIs(reader.feed(b"Z"), Progress.MALFORMED)
+
     def test_error_response_has_its_code(self) -> None:
         reader = server_reader()
         self.assertIs(reader.feed(messages.error("53300", "full") + READY), Progress.RESPONDED)
