--- a/lanelead/postgres_relay/config.py
+++ b/lanelead/postgres_relay/config.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
@@ -92,7 +91,8 @@
     Raises MessageError, which names the invalid field and what is expected; no part of an invalid file is used.
     """
     try:
-        config = decode(Path(path).read_bytes(), RelayConfig, MAX_FILE_BYTES)
+        with open(path, "rb") as file:
+            config = decode(file.read(MAX_FILE_BYTES + 1), RelayConfig, MAX_FILE_BYTES)
     except OSError as error:
         raise MessageError(f"cannot read {path}: {error.strerror}") from None
     _check_addresses(config)
--- a/lanelead/runtime/action_dispatch.py
+++ b/lanelead/runtime/action_dispatch.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lanelead.decisions.interface import (
     Action,
@@ -32,7 +32,6 @@
     Verdict,
     WatchEndpoints,
 )
-from lanelead.migrations.readiness import Readiness
 from lanelead.runtime.destination import Destination
 from lanelead.runtime.driver_counters import DriverCounters
 from lanelead.runtime.gossip_codec import encode_gossip
@@ -40,6 +39,9 @@
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 from lanelead.runtime.timer_queue import TimerQueue
 
+if TYPE_CHECKING:  # only relays that heed migrations load these
+    from lanelead.migrations.readiness import Readiness
+
 # Outcomes after which an attempt surely does not run at its endpoint any more. After the others it may still run.
 DEFINITE_OUTCOMES = (
     AttemptOutcome.SUCCEEDED,
--- a/lanelead/runtime/driver.py
+++ b/lanelead/runtime/driver.py
@@ -20,7 +20,7 @@
 
 from collections.abc import Callable, Sequence
 from heapq import heappop
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lanelead.decisions.interface import (
     Attempt,
@@ -37,9 +37,7 @@
     Ticks,
     UpdateScope,
 )
-from lanelead.migrations.readiness import Readiness
 from lanelead.protocols.feeds import EndpointListMessage, MessageError, RolloutMessage
-from lanelead.protocols.migrations import MigrationLogPage
 from lanelead.protocols.vocabulary import ROLLOUT_PHASES
 from lanelead.runtime.action_dispatch import ActionDispatcher
 from lanelead.runtime.destination import Destination
@@ -50,6 +48,10 @@
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 from lanelead.runtime.timer_queue import TimerQueue
 
+if TYPE_CHECKING:  # only relays that heed migrations load these
+    from lanelead.migrations.readiness import Readiness
+    from lanelead.protocols.migrations import MigrationLogPage
+
 MAX_TICK_TICKS: Ticks = 50  # 5 ms: thousands of timers that are due together must not hold up other events
 
 
--- a/lanelead/runtime/endpoint_list.py
+++ b/lanelead/runtime/endpoint_list.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from lanelead.decisions.interface import Endpoint, EndpointRecord, EndpointStatus, Ticks, UpdateScope
-from lanelead.migrations.readiness import Readiness
 from lanelead.protocols.feeds import EndpointListMessage, EndpointMessage
 from lanelead.protocols.vocabulary import ENDPOINT_STATUSES
 from lanelead.runtime.destination import Destination
 from lanelead.runtime.endpoint_registry import EndpointRegistry
 
+if TYPE_CHECKING:  # only relays that heed migrations load these
+    from lanelead.migrations.readiness import Readiness
+
 TICKS_PER_MS = 10
 # The clock offset is measured anew on each stream; start times of one incarnation differ by less than this between two.
 START_TIME_TOLERANCE_TICKS: Ticks = 1000
