Relays on the platform divide the memory that they were given

What operators saw: with hundreds of slow clients a process passed its memory limit and was killed.

Cause: clients' bytes could be a quarter of the limit, whatever the process itself took (24 to 33 of 32 MB); nothing bounded the kernel's queues (no SO_RCVBUF or SO_SNDBUF: 42 MB received and 90 MB unsent were measured) nor the responses that had arrived in part (2.8 MB beside 1 MB allowed, in a trial that printed sizes). Change: plan_memory divides what the limit leaves above the process's own size when it starts, among connections, clients' bytes, partial responses and the queues of each socket. A partial response reserves its announced size; beyond the bound a connection reads 4 KB, so that small responses never wait, and then waits itself. The plan is logged, a limit that leaves too little is warned of, and the state document has the sums.

In the tests' own process, which takes over 64 MB, the limit is 1,024 MB; relays in a process of their own keep 64.

--- a/lanelead/http_relay/request_intake.py
+++ b/lanelead/http_relay/request_intake.py
@@ -1,7 +1,7 @@
 """Reads a client's bytes ahead of handling its requests.
 
 The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone.
-So a request is handled once all that has arrived is read. A work item is one read, and the handling of a few requests.
+So a request is handled once all that has arrived is read. A work item is one read, and the handling of one request.
 """
 
 from __future__ import annotations
@@ -21,7 +21,6 @@
 
 HEAD_READ_BYTES = 4096  # bounds the requests that one read completes
 BODY_READ_BYTES = 65536
-MAX_REQUESTS_PER_WORK_ITEM = 8
 MAX_INBOX_REQUESTS = 256  # requests that are not handled yet; one more ends the connection
 MAX_INBOX_BYTES = 1 << 20  # of these requests; above this the relay reads no more
 EVENT_BYTES = 512  # counted for each request that waits, in addition to its text
@@ -71,13 +70,12 @@
             self._listener.close_monitor.watch(self._sock, self._on_client_closed)  # while this waits for its turn
 
     def _work(self) -> None:
-        """Reads what has arrived, and handles some of the requests that wait."""
+        """Reads what has arrived, and handles one of the requests that wait."""
         if self._sock.fileno() < 0:
             return
         self._listener.close_monitor.unwatch(self._sock)
         self._read_ahead()
-        for _ in range(MAX_REQUESTS_PER_WORK_ITEM):
-            self._handle_next()
+        self._handle_next()
         self._update_held_bytes()
         self._close_if_finished()
         if self._sock.fileno() >= 0:
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -33,6 +33,7 @@
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
 from lanelead.runtime.peer_close import PeerCloseMonitor, is_idle_socket
 from lanelead.runtime.pending_requests import RequestOutcome
+from lanelead.runtime.process_memory import MemoryPlan
 
 SILENCE_TIMEOUT_SECONDS = 2.0  # without a byte of the first request, or of the rest of a message
 IDLE_TIMEOUT_SECONDS = 10.0  # between requests, and for the first request to arrive completely
@@ -60,7 +61,7 @@
 
     max_connections: int
     max_query_bytes: int
-    max_buffered_bytes: int  # held for all clients together
+    memory: MemoryPlan
     response_slack: Ticks
 
 
@@ -93,7 +94,8 @@
         longest_timeout = max((request_class.timeout for request_class in driver.request_classes.values()), default=0)
         self.executed_ids = ExecutedRequestIds(EXECUTED_ID_TIMEOUTS * longest_timeout)
         self.abandoned = AbandonedRequests(loop, driver.client_left, lambda: self.after_event())
-        self.buffers = BufferBudget(limits.max_buffered_bytes)
+        self._memory = limits.memory
+        self.buffers = BufferBudget(limits.memory.buffered_bytes)
         self.work_queue = FairWorkQueue(loop)
         self.close_monitor = PeerCloseMonitor(loop)
         self.after_event: Callable[[], None] = lambda: None
@@ -131,6 +133,9 @@
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections have the same limits; without them the kernel keeps up to tcp_rmem and tcp_wmem.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._memory.receive_queue_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._memory.send_queue_bytes)
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
         self._sock = sock
--- a/lanelead/postgres_relay/connection_pool.py
+++ b/lanelead/postgres_relay/connection_pool.py
@@ -14,8 +14,10 @@
 
 from lanelead.decisions.interface import Attempt, Endpoint, EndpointStatus
 from lanelead.pgwire.servers import ServerReader
+from lanelead.postgres_relay.partial_responses import PartialResponses
 from lanelead.runtime.destination import Destination
 from lanelead.runtime.peer_close import is_idle_socket
+from lanelead.runtime.process_memory import MemoryPlan
 
 IDLE_LIMIT_FACTOR = 0.6  # share of the endpoint's own idle timeout, so that the relay closes the connection first
 REUSE_DELAY_SECONDS = 0.01  # duplicated responses arrive 2 to 3 ms late
@@ -28,13 +30,14 @@
 
     Timeouts are in seconds. `connect_timeout` bounds the time until a connection is ready for a query, a whole health
     check, and a pause within a response. After `idle_timeout` the endpoint closes an idle connection.
-    `max_response_bytes` is the maximum size of one message.
+    `max_response_bytes` is the maximum size of one message; `memory` has the sizes of the kernel's queues.
     """
 
     connect_timeout: float
     idle_timeout: float
     max_connections: int
     max_response_bytes: int
+    memory: MemoryPlan
 
 
 class UpstreamConnection:
@@ -110,7 +113,9 @@
         self._idle_limit = limits.idle_timeout * IDLE_LIMIT_FACTOR
         self._max_connections = limits.max_connections
         self._max_response_bytes = limits.max_response_bytes
+        self._memory = limits.memory
         self._pools: dict[Endpoint, EndpointPool] = {}
+        self.partial_responses = PartialResponses(loop, limits.memory.response_bytes, self._on_readable)
         self.connections: dict[UpstreamConnection, None] = {}
         self.opened = 0
         self.descriptor_shortages = 0
@@ -119,6 +124,10 @@
         """Called when the connection is established, has failed, or accepts more bytes."""
         raise NotImplementedError
 
+    def _on_readable(self, connection: UpstreamConnection) -> None:
+        """Called when bytes of the endpoint can be read, or it has closed the connection."""
+        raise NotImplementedError
+
     def _on_connect_timeout(self, connection: UpstreamConnection) -> None:
         """Called when the connection may not have become ready for a query in time."""
         raise NotImplementedError
@@ -165,6 +174,8 @@
             return None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._memory.response_queue_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._memory.send_queue_bytes)
         connection = UpstreamConnection(sock, pool, self._max_response_bytes)
         self.connections[connection] = None
         self.opened += 1
@@ -201,6 +212,7 @@
                 timer.cancel()
         self._loop.remove_reader(connection.sock)
         self._loop.remove_writer(connection.sock)
+        self.partial_responses.forget(connection)
         connection.sock.close()
         if connection in connection.pool.idle:
             connection.pool.idle.remove(connection)
--- a/lanelead/postgres_relay/event_loop_monitor.py
+++ b/lanelead/postgres_relay/event_loop_monitor.py
@@ -5,7 +5,7 @@
 import gc
 import time
 
-PAGE_BYTES = 4096
+from lanelead.runtime.process_memory import resident_bytes
 
 
 class EventLoopMonitor:
@@ -45,14 +45,5 @@
             "loop_lag_ms": round(self.loop_lag_seconds * 1000, 1),
             "gc_pause_ms": round(self.gc_pause_seconds * 1000, 1),
             "cpu_s": round(time.process_time(), 2),
-            "memory_mb": resident_mb(),
+            "memory_mb": round(resident_bytes() / 1e6, 1),
         }
-
-
-def resident_mb() -> float:
-    """Returns the process's resident memory in megabytes (proc(5), statm), or 0 if it cannot be read."""
-    try:
-        with open("/proc/self/statm") as file:
-            return round(int(file.read().split()[1]) * PAGE_BYTES / 1e6, 1)
-    except (OSError, ValueError, IndexError):
-        return 0.0
--- a/lanelead/postgres_relay/service.py
+++ b/lanelead/postgres_relay/service.py
@@ -81,7 +81,11 @@
         self._create_connections(parameters)
         self._create_feeds(parameters, config)
         logged = {name: config.settings.get(name) for name in LOGGED_SETTINGS}
-        self._log.info("settings read", **logged, limits=str(config.limits))
+        self._log.info("settings read", **logged, limits=str(config.limits), memory_plan=str(parameters.memory_plan))
+        if not parameters.memory_plan.is_sufficient:
+            self._log.warning(
+                "the memory limit leaves little for clients", remedy="raise limits.memory_mb or lower limits.sockets"
+            )
 
     # Construction
 
@@ -114,7 +118,7 @@
             ListenerLimits(
                 max_connections=parameters.max_clients,
                 max_query_bytes=2 * MAX_VALUE_BYTES + 4096,
-                max_buffered_bytes=parameters.max_buffered_bytes,
+                memory=parameters.memory_plan,
                 response_slack=parameters.service_limits.response_slack,
             ),
             self._log,
--- a/lanelead/postgres_relay/service_parameters.py
+++ b/lanelead/postgres_relay/service_parameters.py
@@ -19,10 +19,11 @@
 )
 from lanelead.postgres_relay.config import RelayConfig
 from lanelead.postgres_relay.connection_pool import PoolLimits
+from lanelead.runtime.process_memory import MemoryPlan, plan_memory, resident_bytes
 
 RESERVED_DESCRIPTORS = 24  # for the listening socket, feeds, gossip, the log and the interpreter
 CLIENT_DESCRIPTOR_SHARE = 0.5  # share of the other descriptors for clients; the rest is for upstream connections
-BUFFER_MEMORY_SHARE = 0.25  # share of the memory limit that may be held for clients
+BYTES_PER_MB = 1_000_000
 MAX_VALUE_BYTES = 65536
 DEFAULT_UPSTREAM_IDLE_SECONDS = 10.0
 
@@ -47,11 +48,11 @@
     upstream_idle_seconds: float  # an endpoint closes a connection that was idle for this long
     max_clients: int
     max_upstream_connections: int
-    max_buffered_bytes: int  # held for all clients together
+    memory_plan: MemoryPlan
 
     @classmethod
     def read(cls, config: RelayConfig) -> ServiceParameters:
-        """Reads the settings, which must have passed `check_settings`."""
+        """Reads the settings, which must have passed `check_settings`; measures what memory the process takes now."""
         parameters = config.parameters
         descriptors = max(8, config.limits.sockets - RESERVED_DESCRIPTORS)
         max_clients = int(descriptors * CLIENT_DESCRIPTOR_SHARE)
@@ -68,7 +69,7 @@
             upstream_idle_seconds=parameters.ticks("allowed.connIdleMs") / 10_000 or DEFAULT_UPSTREAM_IDLE_SECONDS,
             max_clients=max_clients,
             max_upstream_connections=descriptors - max_clients,
-            max_buffered_bytes=int(config.limits.memory_mb * BUFFER_MEMORY_SHARE * 1_000_000),
+            memory_plan=plan_memory(int(config.limits.memory_mb * BYTES_PER_MB), resident_bytes(), descriptors),
         )
 
     def create_balancer(self, seed: str, now: Ticks) -> Balancer:
@@ -93,4 +94,5 @@
             idle_timeout=self.upstream_idle_seconds,
             max_connections=self.max_upstream_connections,
             max_response_bytes=MAX_VALUE_BYTES + 8192,
+            memory=self.memory_plan,
         )
--- a/lanelead/postgres_relay/state_document.py
+++ b/lanelead/postgres_relay/state_document.py
@@ -37,6 +37,10 @@
         "rejected_connections": listener.rejected_connections,
         "rejections": listener.rejections,
         "overdue_requests": listener.overdue_requests,
+        "buffered_bytes": listener.buffers.held_bytes,
+        "peak_buffered_bytes": listener.buffers.peak_bytes,
+        "max_buffered_bytes": listener.buffers.max_bytes,
+        "closed_to_free_memory": listener.buffers.closed_connections,
     }
 
 
@@ -52,4 +56,6 @@
         "malformed_responses": upstream.malformed_responses,
         "partial_writes": upstream.partial_writes,
         "descriptor_shortages": upstream.descriptor_shortages,
+        "partial_response_bytes": upstream.partial_responses.reserved_bytes,
+        "response_waits": upstream.partial_responses.waits,
     }
--- a/lanelead/postgres_relay/upstream_requests.py
+++ b/lanelead/postgres_relay/upstream_requests.py
@@ -26,7 +26,7 @@
 from lanelead.runtime.peer_close import is_idle_socket
 from lanelead.runtime.pending_requests import PendingRequest
 
-READ_BUFFER_BYTES = 65536
+MAX_READS_PER_TURN = 16  # of one connection
 STARTUP_MESSAGE = messages.startup("app", "shop")  # user and database
 REJECTED_CODE = "53300"  # SQLSTATE too_many_connections
 HEALTH_CHECK_QUERY = messages.query(b"SHOW vitals")  # the result is the endpoint's load report
@@ -171,23 +171,31 @@
     # Events on connections
 
     def _on_readable(self, connection: UpstreamConnection) -> None:
+        """Reads what has arrived. A response that comes in pieces is read on, so as not to take a turn for each."""
+        for _ in range(MAX_READS_PER_TURN):
+            if not self._read(connection) or not self.partial_responses.may_read_on(connection):
+                return
+
+    def _read(self, connection: UpstreamConnection) -> bool:
+        """Reads once; returns whether something was read and the response is incomplete."""
         try:
-            data = connection.sock.recv(READ_BUFFER_BYTES)
+            data = connection.sock.recv(self.partial_responses.read_size(connection))
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
             data = b""
         if not data:
             self._fail_connection(connection)
             self.after_event()
-            return
+            return False
         now = self._loop.time()
         idle_seconds = now - connection.last_activity
         connection.last_activity = now
         reader = connection.reader
         progress = reader.feed(data)
+        self.partial_responses.update(connection)
         if progress is Progress.WAITING:
-            return
+            return True
         if progress is Progress.MALFORMED:
             in_use = connection.attempt is not None or connection.health_check is not None
             # For bytes on an idle connection: how late they came, since they may be a duplicated response.
@@ -201,6 +209,7 @@
         else:
             self._on_response(connection)
         self.after_event()
+        return False
 
     def _on_ready(self, connection: UpstreamConnection) -> None:
         """Handles the endpoint's first ReadyForQuery: sends the query for which the connection was opened.
--- a/tests/postgres_platform.py
+++ b/tests/postgres_platform.py
@@ -76,6 +76,8 @@
     },
     "loadReport": {"how": "pull", "names": ["waiting", "cpu"]},
 }
+MEMORY_MB = 1024  # of the relay in the test's process, which takes more than a relay alone
+PROCESS_MEMORY_MB = 64  # of a relay in a process of its own
 STAGE = {"build": 1, "stage": 1, "phase": "live", "cap": 1.0, "age_ms": 60000}
 
 
@@ -180,7 +182,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "seed": "7f",
             "discovery": f"127.0.0.1:{ports[0]}",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self.sockets},
             "peer_listen": f"127.0.0.1:{self.gossip_port}",
             "peers": [f"127.0.0.1:{self.gossip_port}", "127.0.0.1:9"],
             "platform": {"address": f"127.0.0.1:{ports[1]}", "news": STAGE},
--- a/tests/relay_processes.py
+++ b/tests/relay_processes.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from lanelead.pgwire import messages
-from tests.postgres_platform import Platform, PostgresClient, free_port, platform
+from tests.postgres_platform import PROCESS_MEMORY_MB, Platform, PostgresClient, free_port, platform
 from tests.scripted_endpoints import ScriptedEndpoint
 
 ROOT = Path(__file__).parent.parent
@@ -90,6 +90,7 @@
         config = json.loads((env.folder / "config.json").read_text())
         port = free_port()
         config |= {"listen": f"127.0.0.1:{port}", "peer_listen": "", "peers": []}
+        config["limits"]["memory_mb"] = PROCESS_MEMORY_MB
         if not known:
             config["known"] = {"version": 0, "full": True, "servers": []}
         file = env.folder / "other.json"
