--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -1,8 +1,8 @@
 """Reads a client's bytes ahead of handling its commands.
 
 The end of a client's stream follows all that the client has sent, and a request must not run once its client has gone.
-So a command is handled once all that has arrived is read. A work item is one read, and the handling of one command: with
-more, a client that has just connected would wait long where a crowd has connected at the same time.
+So a command is handled once all that has arrived is read. A work item is one read, and the handling of one command:
+more would keep clients that have just connected waiting, where many connect at once.
 """
 
 from __future__ import annotations
