--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -33,8 +33,7 @@
 ACCEPT_RETRY_SECONDS = 0.1
 DRAIN_POLL_SECONDS = 0.01
 
-# Errors of accept() after which the listening socket is still usable.
-TRANSIENT_ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED)
+EXHAUSTION_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class ClientListener:
@@ -107,21 +106,19 @@
     def _accept(self) -> None:
         """Accepts connections that wait, for a bounded time."""
         ends_at = time.monotonic() + MAX_TURN_SECONDS
-        while self._sock is not None:
+        while self._sock is not None and time.monotonic() < ends_at:
             try:
                 client, address = self._sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                if error.errno not in TRANSIENT_ACCEPT_ERRORS:
-                    raise
+                if error.errno not in EXHAUSTION_ERRORS:
+                    continue  # such as a connection that broke before it was accepted
                 # Guards against running out of descriptors: connected clients are still served, new ones wait.
                 self._log.warning("cannot accept", reason=str(error))
                 self._pause_accepting()
                 return
             self._admit(client, address[0])
-            if time.monotonic() >= ends_at:
-                return
 
     def _admit(self, client: socket.socket, address: str) -> None:
         client.setblocking(False)
--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -21,6 +21,7 @@
 from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.endpoint_list import TICKS_PER_MS
 from lanelead.runtime.host_operations_base import HostOperationsBase
+from lanelead.runtime.listening import listen_with_retry
 from lanelead.runtime.loop_clock import LoopClock
 from lanelead.settings.relay_settings import NO_PRICES, RelaySettings, position_of
 from lanelead.settings.service_settings import ticks
@@ -137,16 +138,11 @@
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._on_signal)
+        self._loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         self._feeds.start()
         self._open_gossip()
         await self._wait_for_endpoints()
-        host, port = self._listen()
-        ready(host, port)
-        self._after_event()
-        sweeper = self._background_tasks.start(self._sweep())
-        await self._stop.wait()
-        await self._drain()
-        sweeper.cancel()
+        await self._serve(ready)
         await self.upstream.shut_down()
         await self._feeds.stop()
         await self._background_tasks.cancel_all()
@@ -172,15 +168,19 @@
         except TimeoutError:
             self._log.warning("no endpoint list received yet, rejecting requests until there is one")
 
-    def _listen(self) -> tuple[str, int]:
+    async def _serve(self, ready: Callable[[str, int], None]) -> None:
         listen = self._settings.listen
-        try:
-            host, port = self.listener.listen(listen.host, listen.port)
-        except OSError as error:
-            self._log.error("cannot listen", port=listen.port, reason=str(error))
-            raise SystemExit(1) from None
+        address = await listen_with_retry(self.listener.listen, listen.host, listen.port, self._stop, self._log)
+        if address is None:
+            return
+        host, port = address
         self._log.info("listening", host=host, port=port)
-        return host, port
+        ready(host, port)
+        self._after_event()
+        sweeper = self._background_tasks.start(self._sweep())
+        await self._stop.wait()
+        await self._drain()
+        sweeper.cancel()
 
     async def _drain(self) -> None:
         if self.membership is not None:
@@ -198,13 +198,19 @@
             raise SystemExit(1)
         self.stop()
 
+    def _on_hangup(self) -> None:
+        self._log.info("SIGHUP is ignored: this relay reads its settings at its start only")
+
     # Tasks
 
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
-            self.upstream.pools.sweep()
-            self.listener.sweep()
+            try:
+                self.upstream.pools.sweep()
+                self.listener.sweep()
+            except Exception:  # noqa: BLE001 - logged; later sweeps must still run
+                self._log.exception("a sweep failed")
 
     def _next_timer(self) -> Ticks | None:
         return self.driver.next_timer()
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -327,7 +327,10 @@
         turn_ends_at = time.monotonic() + MAX_TURN_SECONDS
         for client in list(self.clients):
             if client in self.clients:  # it may have closed meanwhile
-                action(client)
+                try:
+                    action(client)
+                except Exception:  # noqa: BLE001 - logged; the other clients must still be answered
+                    self._log.exception("draining a connection failed")
             if time.monotonic() >= turn_ends_at:
                 self.after_event()
                 await asyncio.sleep(0)
--- a/lanelead/postgres_relay/gossip_transport.py
+++ b/lanelead/postgres_relay/gossip_transport.py
@@ -45,9 +45,10 @@
 
     def open(self, host: str, port: int) -> None:
         """Binds the socket. If that fails, the relay runs without gossip, as if every datagram were lost."""
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+            sock.setblocking(False)
             sock.bind((host, port))
         except OSError as error:
             self._log.error(
@@ -55,7 +56,8 @@
                 reason=str(error),
                 remedy="free the address in peer_listen and restart the relay",
             )
-            sock.close()
+            if sock is not None:
+                sock.close()
             return
         self._sock = sock
         self._loop.add_reader(sock, self._on_readable)
--- a/lanelead/postgres_relay/service.py
+++ b/lanelead/postgres_relay/service.py
@@ -39,6 +39,7 @@
 from lanelead.protocols.platform import parse_address
 from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.host_operations_base import HostOperationsBase
+from lanelead.runtime.listening import listen_with_retry
 from lanelead.runtime.loop_clock import LoopClock
 
 if TYPE_CHECKING:
@@ -232,7 +233,8 @@
     async def run(self, config: RelayConfig) -> None:
         """Serves until `stop` is called, then drains and closes all connections.
 
-        Raises SystemExit if the relay cannot listen at its address, and MessageError as `_follow_configuration` does.
+        Raises SystemExit if the relay cannot listen at its address in time, and MessageError as `_follow_configuration`
+        does.
         """
         self._event_loop_monitor.start()
         self._start_feeds(config)
@@ -265,11 +267,8 @@
             self._log.warning("no endpoint list yet", remedy="check discovery; requests are rejected until it responds")
 
     async def _serve(self, host: str, port: int) -> None:
-        try:
-            self.listener.listen(host, port)
-        except OSError as error:
-            self._log.error("cannot listen", address=f"{host}:{port}", reason=str(error))
-            raise SystemExit(1) from None
+        if await listen_with_retry(self.listener.listen, host, port, self._stop, self._log) is None:
+            return
         self._log.info("listening", address=f"{host}:{port}")
         self.after_event()
         sweeper = self._background_tasks.start(self._sweep())
