--- a/tests/abuse/regular_clients.py
+++ b/tests/abuse/regular_clients.py
@@ -69,6 +69,7 @@
         self._rng = rng
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._count = 0
+        self.timeout_seconds = LEFT_MS / 1000 + GRACE_SECONDS
 
     async def run(self, seconds: float, pause_seconds: float) -> None:
         """Sends requests for `seconds`, with pauses of the given mean."""
@@ -92,7 +93,7 @@
         answer = Answer.NEVER
         was_open = self._streams is not None
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LEFT_MS / 1000 + GRACE_SECONDS):
+            async with asyncio.timeout(self.timeout_seconds):
                 answer = await self._answer_or_close(request_id)
                 if answer is Answer.CLOSED and was_open:
                     # A relay may close a connection between requests; the client then sends the request once more.
--- a/tests/abuse/surroundings.py
+++ b/tests/abuse/surroundings.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -58,11 +59,13 @@
         self.endpoint_ports: list[int] = []
         self.process: asyncio.subprocess.Process
         self.log_file: Path | None = None
+        self._start_again: Callable[[], Awaitable[None]]
 
     async def start(self, folder: Path, *arguments: str, **variables: str) -> None:
         """Starts the process, with its limit of descriptors, and waits until it accepts connections."""
+        self._start_again = functools.partial(self.start, folder, *arguments, **variables)
         self.log_file = self.log_file or folder / "relay.log"
-        with self.log_file.open("wb") as log:
+        with self.log_file.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-c",
@@ -78,6 +81,10 @@
                 raise AssertionError(f"the relay ended with {self.process.returncode}, see {self.log_file}")
             await asyncio.sleep(0.02)
 
+    async def start_again(self) -> None:
+        """Starts another process like the one before, which has ended."""
+        await self._start_again()
+
     async def _accepts(self) -> bool:
         """Returns whether the relay accepts a connection, which is closed at once."""
         try:
