SIGHUP while a relay ends does not become its exit code

Cause: the event loop removes its signal handlers when it is closed, and the process lives on for some ms; to block the signals is not enough, since threads of the loop receive them (/proc: 6 threads, default action, killed). Change: a relay exits while its handlers are there.

--- a/lanelead/http_relay/main.py
+++ b/lanelead/http_relay/main.py
@@ -10,6 +10,7 @@
 
 from lanelead.http_relay.service import DecisionWrapper, Service
 from lanelead.logs import logger
+from lanelead.runtime.process_signals import block_signals, exit_with_handlers, unblock_signals
 from lanelead.settings.relay_settings import RelaySettings
 
 STANDARD_OUTPUT_DESCRIPTOR = 1
@@ -18,6 +19,7 @@
 
 def run(settings: RelaySettings, log_format: str, wrapper: DecisionWrapper | None = None) -> None:
     """Serves until SIGTERM. Writes the line `ready HOST PORT` to standard output once it listens."""
+    block_signals()
     log = logger(log_format)
 
     def ready(host: str, port: int) -> None:
@@ -31,6 +33,10 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
     async def serve() -> None:
-        await Service(settings, log, wrapper).run(ready)
+        service = Service(settings, log, wrapper)
+        service.install_signal_handlers()
+        unblock_signals()
+        await service.run(ready)
+        exit_with_handlers()
 
     uvloop.run(serve())
--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -23,6 +23,7 @@
 from lanelead.runtime.host_operations_base import HostOperationsBase
 from lanelead.runtime.listening import listen_with_retry
 from lanelead.runtime.loop_clock import LoopClock
+from lanelead.runtime.process_memory import resident_bytes
 from lanelead.settings.relay_settings import NO_PRICES, RelaySettings, position_of
 from lanelead.settings.service_settings import ticks
 
@@ -68,6 +69,9 @@
             tenants=self._tenants,
         )
         self.listener.after_event = self._after_event
+        self.upstream.pools.memory = self.listener.memory
+        self.upstream.pools.add_response_bytes = self.listener.buffers.add_responses
+        self._log.info("memory divided", memory_plan=str(self.listener.memory))
 
     # Assembly
 
@@ -131,14 +135,14 @@
 
     # Running
 
-    async def run(self, ready: Callable[[str, int], None] = lambda host, port: None) -> None:
-        """Serves until `stop` or a signal: SIGTERM or SIGINT drains, a second signal exits at once with status 1.
-
-        `ready` is called with the bound address once the relay listens.
-        """
+    def install_signal_handlers(self) -> None:
+        """Makes SIGTERM and SIGINT drain the relay, and a second one exit at once with status 1; SIGHUP is ignored."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._on_signal)
         self._loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+
+    async def run(self, ready: Callable[[str, int], None] = lambda host, port: None) -> None:
+        """Serves until `stop`, which a signal calls too; `ready` is called with the address once the relay listens."""
         self._feeds.start()
         self._open_gossip()
         await self._wait_for_endpoints()
@@ -261,6 +265,11 @@
             "dropped_datagrams": {} if self._gossip is None else dict(self._gossip.dropped),
             "feeds": dict(self._feeds.up),
             "malformed_requests": self.listener.malformed_requests,
+            "buffered_bytes": self.listener.buffers.held_bytes,
+            "peak_buffered_bytes": self.listener.buffers.peak_bytes,
+            "max_buffered_bytes": self.listener.buffers.max_bytes,
+            "closed_to_free_memory": self.listener.buffers.closed_connections,
+            "memory_mb": round(resident_bytes() / 1e6, 1),
             "membership": None if self.membership is None else self.membership.state(),
         }
 
--- a/lanelead/postgres_relay/main.py
+++ b/lanelead/postgres_relay/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import signal
 import sys
 
 import uvloop
@@ -12,8 +11,8 @@
 from lanelead.postgres_relay.config import load, path_from_environment
 from lanelead.postgres_relay.service import Service
 from lanelead.protocols.feeds import MessageError
+from lanelead.runtime.process_signals import block_signals, exit_with_handlers, unblock_signals
 
-BLOCKED_SIGNALS = {signal.SIGHUP, signal.SIGTERM}
 GC_THRESHOLDS = (5_000, 20, 50)
 
 
@@ -22,8 +21,7 @@
 
     An invalid configuration file ends the process with one line on standard error and exit code 2.
     """
-    # Until its handler is installed, a signal would end the process: it is blocked, and delivered after that.
-    signal.pthread_sigmask(signal.SIG_BLOCK, BLOCKED_SIGNALS)
+    block_signals()
     try:
         path = path_from_environment()
         config = load(path)
@@ -40,7 +38,8 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         service.install_signal_handlers()
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, BLOCKED_SIGNALS)
+        unblock_signals()
         await service.run(config)
+        exit_with_handlers()
 
     uvloop.run(serve())
--- a/tests/test_process_endings.py
+++ b/tests/test_process_endings.py
@@ -90,6 +90,17 @@
                     self.assertIsNone(relay.process.returncode)
                     self.assertEqual(await relay.stop_gracefully(), 0)
 
+    @run_on_uvloop
+    async def test_a_hangup_while_a_relay_ends_does_not_become_its_exit_code(self) -> None:
+        for kind in RelayKind:
+            with self.subTest(kind), tempfile.TemporaryDirectory() as name:
+                async with relay_under_test(kind, Path(name), MOST) as relay:
+                    relay.process.terminate()
+                    while relay.process.returncode is None:
+                        relay.process.send_signal(signal.SIGHUP)
+                        await asyncio.sleep(0.001)
+                    self.assertEqual(relay.process.returncode, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
