The relay over HTTP divides its memory as the one on the platform does

Clients' bytes were bounded at 32 MB whatever the process took, the kernel's queues and the responses that had arrived in part were not, and pools of endpoints that were gone stayed. Now plan_memory divides its 192 MB, queues are bounded, partial responses count with the clients' bytes, and empty pools of removed endpoints are dropped.

--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -22,9 +22,10 @@
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
 from lanelead.runtime.peer_close import PeerCloseMonitor
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
+from lanelead.runtime.process_memory import plan_memory, resident_bytes
 from lanelead.settings.service_settings import ServiceSettings
 
-MAX_BUFFERED_BYTES = 32_000_000  # held for all clients together, of the 192 MB that a relay may use
+MEMORY_LIMIT_BYTES = 192_000_000  # that the process may take, with the kernel's queues of its connections
 SILENCE_TIMEOUT_SECONDS = 2.0  # without a byte of the rest of a request
 HEAD_TIMEOUT_SECONDS = 10.0  # for a head to arrive completely
 EXECUTED_ID_TIMEOUTS = 2  # for how many of the longest timeouts the id of a request that may have run is remembered
@@ -64,7 +65,6 @@
         longest_timeout = max((row.timeout for row in driver.request_classes.values()), default=0)
         self.executed_ids = ExecutedRequestIds(EXECUTED_ID_TIMEOUTS * longest_timeout)
         self.abandoned = AbandonedRequests(loop, driver.client_left, lambda: self.after_event())
-        self.buffers = BufferBudget(MAX_BUFFERED_BYTES)
         self.work_queue = FairWorkQueue(loop)
         self.close_monitor = PeerCloseMonitor(loop)
         self.draining = False
@@ -73,6 +73,9 @@
         self.after_event: Callable[[], None] = lambda: None
         self._idle_limit_seconds = service.allowance.idle_limit_ms / 1000
         self._max_connections = self._connection_limit()
+        # As many connections to endpoints as to clients.
+        self.memory = plan_memory(MEMORY_LIMIT_BYTES, resident_bytes(), 2 * self._max_connections)
+        self.buffers = BufferBudget(self.memory.buffered_bytes)
         self.malformed_requests = 0
 
     def _connection_limit(self) -> int:
@@ -96,6 +99,7 @@
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.memory.bound_client_queues(sock)  # accepted connections have the same limits
         sock.bind((host, port))
         sock.listen(min(MAX_BACKLOG, self._max_connections))
         self._sock = sock
--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lanelead.decisions.interface import Attempt, Endpoint
+from lanelead.decisions.interface import Attempt, Endpoint, EndpointStatus
 from lanelead.http.responses import HttpResponse, Progress, ResponseReader
 from lanelead.runtime.destination import Destination
 from lanelead.runtime.peer_close import is_idle_socket
+from lanelead.runtime.process_memory import MemoryPlan
 
 REUSE_DELAY_SECONDS = 0.01  # before a connection is used again: a second copy of a response may follow the first one
 BUFFER_BYTES = 16384  # maximum size of one read
@@ -44,6 +45,7 @@
         "attempt",
         "buffer",
         "closed",
+        "counted_bytes",
         "health_check",
         "idle_since",
         "pool",
@@ -63,6 +65,7 @@
         self.writing = False
         self.writable: asyncio.Future[None] | None = None  # of the task that waits to write more
         self.closed = False
+        self.counted_bytes = 0  # of a response that has arrived in part
         self.idle_since = 0.0
 
     def send_some(self, data: memoryview) -> int:
@@ -114,6 +117,8 @@
         self._response_received = response_received
         self._log = log
         self._pools: dict[Endpoint, EndpointPool] = {}
+        self.memory: MemoryPlan | None = None  # set by the service, as is the next
+        self.add_response_bytes: Callable[[int], None] = lambda difference: None
         self._spare_buffers: list[bytearray] = []
         self._reuse_queue: deque[tuple[float, UpstreamConnection]] = deque()  # with the time at which each may be used
         self._reader_tasks: set[asyncio.Task[None]] = set()
@@ -183,6 +188,8 @@
             sock = socket.socket(socket.AF_INET6 if ":" in destination.host else socket.AF_INET)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.memory is not None:
+                self.memory.bound_endpoint_queues(sock)
             async with asyncio.timeout_at(end):
                 await self._loop.sock_connect(sock, (destination.host, destination.port))
         except BaseException as error:
@@ -206,6 +213,7 @@
                 if connection.closed or (connection.attempt is None and connection.health_check is None):
                     break  # cancelled, closed while idle, or unrequested bytes: the connection is unusable
                 progress = connection.reader.feed(view[:size]) if size else connection.reader.eof()
+                self._count_bytes(connection, connection.reader.held_bytes if progress is Progress.WAITING else 0)
                 if progress is Progress.WAITING:
                     continue
                 complete = progress is Progress.COMPLETE
@@ -220,7 +228,14 @@
             view.release()
             self._reader_ended(connection)
 
+    def _count_bytes(self, connection: UpstreamConnection, held_bytes: int) -> None:
+        difference = held_bytes - connection.counted_bytes
+        connection.counted_bytes = held_bytes
+        if difference:
+            self.add_response_bytes(difference)
+
     def _reader_ended(self, connection: UpstreamConnection) -> None:
+        self._count_bytes(connection, 0)
         self.connection_failed(connection)
         connection.closed = True
         pool = connection.pool
@@ -302,12 +317,14 @@
             self._close_all_idle(pool)
 
     def sweep(self) -> None:
-        """Closes connections that have been idle for longer than the limit; called periodically."""
+        """Closes connections that have been idle for too long, and drops the pools of removed endpoints."""
         oldest = self._loop.time() - self._limits.idle_seconds
-        for pool in self._pools.values():
+        for endpoint, pool in list(self._pools.items()):
             while pool.idle and pool.idle[0].idle_since < oldest:
                 pool.in_use += 1
                 self.close(pool.idle.pop(0))
+            if endpoint.status is EndpointStatus.REMOVED and not pool.idle and not pool.in_use:
+                del self._pools[endpoint]
 
     async def shut_down(self) -> None:
         """Closes all idle connections and waits until all reading tasks have ended, when the process ends."""
--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -133,9 +133,7 @@
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted connections have the same limits; without them the kernel keeps up to tcp_rmem and tcp_wmem.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._memory.receive_queue_bytes)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._memory.send_queue_bytes)
+        self._memory.bound_client_queues(sock)  # accepted connections have the same limits
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
         self._sock = sock
--- a/lanelead/postgres_relay/connection_pool.py
+++ b/lanelead/postgres_relay/connection_pool.py
@@ -174,8 +174,7 @@
             return None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._memory.response_queue_bytes)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._memory.send_queue_bytes)
+        self._memory.bound_endpoint_queues(sock)
         connection = UpstreamConnection(sock, pool, self._max_response_bytes)
         self.connections[connection] = None
         self.opened += 1
--- a/lanelead/runtime/buffer_budget.py
+++ b/lanelead/runtime/buffer_budget.py
@@ -48,14 +48,21 @@
         previous = self._holders.get(holder, 0)
         if held_bytes == previous:
             return
-        self.held_bytes += held_bytes - previous
         if held_bytes:
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
+        self._add(held_bytes - previous)
+
+    def add_responses(self, difference: int) -> None:
+        """Counts bytes of responses that arrive from endpoints, or that are passed on or dropped (negative)."""
+        self._add(difference)
+
+    def _add(self, difference: int) -> None:
+        self.held_bytes += difference
         if not self.is_exceeded:
             self._next_search_bytes = 0.0
-        elif held_bytes > previous and self.held_bytes >= self._next_search_bytes:
+        elif difference > 0 and self.held_bytes >= self._next_search_bytes:
             self._free_memory()
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
--- a/lanelead/runtime/process_memory.py
+++ b/lanelead/runtime/process_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 from dataclasses import dataclass
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -47,6 +48,16 @@
     send_queue_bytes: int
     is_sufficient: bool
 
+    def bound_client_queues(self, sock: socket.socket) -> None:
+        """Bounds the kernel's queues of a client's socket, or of those that a listening socket accepts."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_queue_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_queue_bytes)
+
+    def bound_endpoint_queues(self, sock: socket.socket) -> None:
+        """Bounds the kernel's queues of a connection to an endpoint."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.response_queue_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_queue_bytes)
+
 
 def resident_bytes() -> int:
     """Returns the process's resident memory (proc(5), statm), or 0 if it cannot be read."""
--- a/tests/abuse/soak.py
+++ b/tests/abuse/soak.py
@@ -1,7 +1,7 @@
 """A soak of one relay by seed: `python -m tests.abuse.soak RELAY FIRST_SEED RUNS`.
 
 Limits, signals and a crowd of abusive clients are drawn by the seed. Regular clients go on using their connections
-until SIGKILL, which comes as early as the pages allow. Each run prints a line; the exit code is 1 where one had a fault.
+until SIGKILL, which comes as early as the pages allow. Each run prints a line; the exit code is 1 after a fault.
 """
 
 from __future__ import annotations
