What a process takes beyond the high-water mark is taken from what clients may hold

Four times a second the guard measures; beyond 0.9 of the limit it returns free memory to the system and lowers the bound by the excess, down to the least, and logs it. Both relays; peak_memory_mb is in the state documents. tests.test_memory_guard.

--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -11,7 +11,7 @@
 from lanelead.decisions.balancer import Balancer
 from lanelead.decisions.interface import CastVote, Decisions, RequestClass, ServiceLimits, Tenant, Ticks
 from lanelead.decisions.zone_spillover import NO_ZONE_PREFERENCE
-from lanelead.http_relay.client_listener import ClientListener
+from lanelead.http_relay.client_listener import MEMORY_LIMIT_BYTES, ClientListener
 from lanelead.http_relay.connection_pool import PoolLimits
 from lanelead.http_relay.feed_clients import FeedClients
 from lanelead.http_relay.gossip_transport import GossipTransport
@@ -23,6 +23,7 @@
 from lanelead.runtime.host_operations_base import HostOperationsBase
 from lanelead.runtime.listening import listen_with_retry
 from lanelead.runtime.loop_clock import LoopClock
+from lanelead.runtime.memory_guard import MemoryGuard
 from lanelead.runtime.process_memory import resident_bytes
 from lanelead.settings.relay_settings import NO_PRICES, RelaySettings, position_of
 from lanelead.settings.service_settings import ticks
@@ -71,6 +72,7 @@
         self.listener.after_event = self._after_event
         self.upstream.pools.memory = self.listener.memory
         self.upstream.pools.add_response_bytes = self.listener.buffers.add_responses
+        self._memory_guard = MemoryGuard(self.listener.buffers, MEMORY_LIMIT_BYTES, self._log)
         self._log.info("memory divided", memory_plan=str(self.listener.memory))
 
     # Assembly
@@ -211,6 +213,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             try:
+                self._memory_guard.check()
                 self.upstream.pools.sweep()
                 self.listener.sweep()
             except Exception:  # noqa: BLE001 - logged; later sweeps must still run
@@ -270,6 +273,7 @@
             "max_buffered_bytes": self.listener.buffers.max_bytes,
             "closed_to_free_memory": self.listener.buffers.closed_connections,
             "memory_mb": round(resident_bytes() / 1e6, 1),
+            "peak_memory_mb": round(self._memory_guard.peak_bytes / 1e6, 1),
             "membership": None if self.membership is None else self.membership.state(),
         }
 
--- a/lanelead/postgres_relay/service.py
+++ b/lanelead/postgres_relay/service.py
@@ -32,7 +32,7 @@
 from lanelead.postgres_relay.gossip_transport import GossipTransport
 from lanelead.postgres_relay.reloading import FileReloader, Reload, ignored_until_restart, read_again
 from lanelead.postgres_relay.rollout_client import RolloutClient
-from lanelead.postgres_relay.service_parameters import MAX_VALUE_BYTES, ServiceParameters
+from lanelead.postgres_relay.service_parameters import BYTES_PER_MB, MAX_VALUE_BYTES, ServiceParameters
 from lanelead.postgres_relay.state_document import client_counts, request_counts, upstream_counts
 from lanelead.postgres_relay.upstream_requests import UpstreamRequests
 from lanelead.protocols.feeds import EndpointListMessage, MessageError, RolloutMessage
@@ -41,6 +41,7 @@
 from lanelead.runtime.host_operations_base import HostOperationsBase
 from lanelead.runtime.listening import listen_with_retry
 from lanelead.runtime.loop_clock import LoopClock
+from lanelead.runtime.memory_guard import MemoryGuard
 
 if TYPE_CHECKING:
     from lanelead.postgres_relay.configuration_client import ConfigurationClient
@@ -124,6 +125,8 @@
             ),
             self._log,
         )
+        limit_bytes = int(self._config.limits.memory_mb * BYTES_PER_MB)
+        self._memory_guard = MemoryGuard(self.listener.buffers, limit_bytes, self._log)
         self.listener.after_event = self.after_event
         self.upstream.after_event = self.after_event
 
@@ -302,6 +305,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._event_loop_monitor.record_lag(self._loop.time() - slept_at - SWEEP_INTERVAL_SECONDS)
             try:
+                self._memory_guard.check()
                 self.upstream.sweep()
                 self.listener.sweep()
             except Exception:  # noqa: BLE001 - logged; later sweeps must still run
@@ -329,6 +333,7 @@
             "skipped_short_ids": dict(self.driver.registry.short_ids.skipped),
             "discovery_connected": self._discovery_handover.newest.connected,
             "rollout_connected": self._rollout_handover.newest.connected,
+            "peak_memory_mb": round(self._memory_guard.peak_bytes / BYTES_PER_MB, 1),
             **self._event_loop_monitor.state(),
         }
 
