Ports with odd digits, memory limits out of range and a lower descriptor limit end no relay

A port like a superscript two or a memory limit of 1e308 MB raised ValueError and OverflowError: at the start a traceback in place of a complaint, in discovery's list the loss of the whole list. The limit of open files of the process was not heeded where it is under limits.sockets.

--- a/lanelead/postgres_relay/config.py
+++ b/lanelead/postgres_relay/config.py
@@ -17,15 +17,16 @@
 from lanelead.protocols.platform import EndpointList, StageMessage, parse_address
 from lanelead.runtime.parameter_reader import ParameterReader, flatten_pairs
 
+MAX_MEMORY_MB = 1_000_000_000.0
 MAX_FILE_BYTES = 16 << 20  # large, since the file contains the last endpoint list
 
 
 class ProcessLimits(msgspec.Struct, frozen=True):
-    """The resource limits of the process; `sockets` is the number of file descriptors."""
+    """The resource limits of the process; `sockets` is the number of file descriptors, a megabyte 10^6 bytes."""
 
     sockets: Annotated[int, Meta(ge=16)] = 1024
     cores: float = 1.0
-    memory_mb: float = 128.0
+    memory_mb: Annotated[float, Meta(gt=0, le=MAX_MEMORY_MB)] = 128.0
 
 
 class PlatformConfig(msgspec.Struct, frozen=True):
--- a/lanelead/postgres_relay/service_parameters.py
+++ b/lanelead/postgres_relay/service_parameters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from dataclasses import dataclass
 from random import Random
 
@@ -54,7 +55,8 @@
     def read(cls, config: RelayConfig) -> ServiceParameters:
         """Reads the settings, which must have passed `check_settings`; measures what memory the process takes now."""
         parameters = config.parameters
-        descriptors = max(8, config.limits.sockets - RESERVED_DESCRIPTORS)
+        given = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        descriptors = max(8, given - RESERVED_DESCRIPTORS)
         max_clients = int(descriptors * CLIENT_DESCRIPTOR_SHARE)
         return cls(
             request_classes=parameters.request_classes(),
--- a/lanelead/protocols/platform.py
+++ b/lanelead/protocols/platform.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Annotated, Any, Literal, NamedTuple
 
@@ -115,14 +116,16 @@
     reason: str
 
 
+PORT = re.compile(r"[0-9]{1,5}")
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Splits `host:port` into host and port, and removes the brackets around an IPv6 host.
 
-    Raises MessageError if the host is empty or the port is not from 1 to 65535, and ValueError if the port has digits
-    that `int` does not accept, such as superscripts. The host is not checked.
+    Raises MessageError if the host is empty or the port is not from 1 to 65535. The host is not checked.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise MessageError(f"invalid address {text[:80]!r}; expected host:port with a port from 1 to 65535")
     return host.strip("[]"), int(port)
 
--- a/tests/test_process_endings.py
+++ b/tests/test_process_endings.py
@@ -12,6 +12,9 @@
 from unittest import mock
 
 from lanelead.postgres_relay.client_connection import ClientConnection
+from lanelead.postgres_relay.config import load
+from lanelead.postgres_relay.service_parameters import ServiceParameters
+from lanelead.protocols.feeds import MessageError
 from tests.abuse.requests import RelayKind
 from tests.abuse.surroundings import MOST, relay_under_test
 from tests.http_relay_environment import run_on_uvloop
@@ -55,6 +58,32 @@
             self.assertEqual(env.logged("cannot bind the gossip socket: running without gossip"), 1)
 
 
+class StartFiles(unittest.TestCase):
+    @run_on_uvloop
+    async def test_what_cannot_be_read_in_a_file_is_a_complaint_and_no_traceback(self) -> None:
+        async with platform(ScriptedEndpoint("u0")) as env:
+            text = (env.folder / "config.json").read_text()
+            config = json.loads(text)
+            faults = {
+                "listen": {"listen": "127.0.0.1:\u00b2"},
+                "memory_mb": {"limits": {**config["limits"], "memory_mb": 1e308}},
+                "limits.memory_mb": {"limits": {**config["limits"], "memory_mb": -1}},
+            }
+            for name, fault in faults.items():
+                file = env.folder / "faulty.json"
+                file.write_text(json.dumps(config | fault))
+                with self.assertRaisesRegex(MessageError, name):
+                    load(str(file))
+
+    @run_on_uvloop
+    async def test_a_lower_limit_of_the_process_counts_for_descriptors(self) -> None:
+        async with platform(ScriptedEndpoint("u0")) as env:
+            config = load(str(env.folder / "config.json"))
+            with mock.patch("resource.getrlimit", return_value=(124, 124)):
+                parameters = ServiceParameters.read(config)
+            self.assertEqual(parameters.max_clients + parameters.max_upstream_connections, 100)
+
+
 class Draining(unittest.TestCase):
     @run_on_uvloop
     async def test_a_fault_on_one_connection_leaves_no_other_without_its_answer(self) -> None:
