With bounded queues a client's close is noticed behind bytes that its own kernel keeps

Cause: 'all that has arrived is read' was told by a read shorter than its buffer, which holds for every read of a small queue; and over HTTP a request of 1 MB took many writes into a send queue of 15 KB, so that it ended late. Change: a read of half a queue or more may have left some, so commands wait for the next read; the queue of what endpoints are sent is not bounded, since requests are counted with the clients' bytes.

--- a/lanelead/http_relay/connection_pool.py
+++ b/lanelead/http_relay/connection_pool.py
@@ -189,7 +189,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self.memory is not None:
-                self.memory.bound_endpoint_queues(sock)
+                self.memory.bound_response_queue(sock)
             async with asyncio.timeout_at(end):
                 await self._loop.sock_connect(sock, (destination.host, destination.port))
         except BaseException as error:
--- a/lanelead/postgres_relay/connection_pool.py
+++ b/lanelead/postgres_relay/connection_pool.py
@@ -174,7 +174,7 @@
             return None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._memory.bound_endpoint_queues(sock)
+        self._memory.bound_response_queue(sock)
         connection = UpstreamConnection(sock, pool, self._max_response_bytes)
         self.connections[connection] = None
         self.opened += 1
--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -97,7 +97,7 @@
 
     def _may_handle(self, received: int) -> bool:
         """Returns whether commands may be handled, after a read of `received` bytes."""
-        if received < READ_BUFFER_BYTES:
+        if received < self.listener.full_read_bytes:
             self.read_ahead_bytes = 0
             return True
         self.read_ahead_bytes += received
@@ -107,7 +107,8 @@
         """Returns whether the client has closed after the bytes just read, and disconnects it in that case."""
         if not self.inbox:
             return False
-        has_gone = has_closed_after_all(self.sock) if received < READ_BUFFER_BYTES else peer_has_closed(self.sock)
+        has_read_all = received < self.listener.full_read_bytes
+        has_gone = has_closed_after_all(self.sock) if has_read_all else peer_has_closed(self.sock)
         if has_gone:
             self.on_disconnect()
         return has_gone
--- a/lanelead/runtime/process_memory.py
+++ b/lanelead/runtime/process_memory.py
@@ -36,7 +36,7 @@
     receive_queue_bytes, response_queue_bytes
         SO_RCVBUF of each connection to a client, and to an endpoint.
     send_queue_bytes
-        SO_SNDBUF of each connection.
+        SO_SNDBUF of each connection to a client.
     is_sufficient
         Whether the limit leaves the least that these need.
     """
@@ -48,15 +48,21 @@
     send_queue_bytes: int
     is_sufficient: bool
 
+    def full_read_bytes(self, read_bytes: int) -> int:
+        """Returns how much a read of at most `read_bytes` has to bring, for the queue of a client to have been full.
+
+        The client's kernel may then keep further bytes, and the client's close behind them.
+        """
+        return min(read_bytes, self.receive_queue_bytes // QUEUE_OVERHEAD_FACTOR)
+
     def bound_client_queues(self, sock: socket.socket) -> None:
         """Bounds the kernel's queues of a client's socket, or of those that a listening socket accepts."""
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_queue_bytes)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_queue_bytes)
 
-    def bound_endpoint_queues(self, sock: socket.socket) -> None:
-        """Bounds the kernel's queues of a connection to an endpoint."""
+    def bound_response_queue(self, sock: socket.socket) -> None:
+        """Bounds the kernel's queue of what an endpoint sends; `buffered_bytes` bounds what it is sent."""
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.response_queue_bytes)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_queue_bytes)
 
 
 def resident_bytes() -> int:
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -45,6 +45,12 @@
         self.assertEqual((plan.buffered_bytes, plan.receive_queue_bytes), (MIN_BUFFERED_BYTES, MIN_QUEUE_BYTES))
         self.assertFalse(plan.is_sufficient)
 
+    def test_a_read_that_empties_a_full_queue_counts_as_one_that_may_have_left_some(self) -> None:
+        for limit in (32, 64, 192):
+            plan = plan_memory(limit * MB, 24 * MB, 1000)
+            self.assertLessEqual(plan.full_read_bytes(32768), plan.receive_queue_bytes)
+            self.assertEqual(plan.full_read_bytes(100), 100)
+
     def test_this_process_takes_some_memory(self) -> None:
         self.assertGreater(resident_bytes(), 8 * MB)
 
