--- a/lanelead/postgres_relay/client_listener.py
+++ b/lanelead/postgres_relay/client_listener.py
@@ -95,7 +95,7 @@
         self.executed_ids = ExecutedRequestIds(EXECUTED_ID_TIMEOUTS * longest_timeout)
         self.abandoned = AbandonedRequests(loop, driver.client_left, lambda: self.after_event())
         self._memory = limits.memory
-        self.full_read_bytes = limits.memory.full_read_bytes(READ_BUFFER_BYTES)
+        self.full_queue_bytes = limits.memory.full_queue_bytes
         self.buffers = BufferBudget(limits.memory.buffered_bytes)
         self.work_queue = FairWorkQueue(loop)
         self.close_monitor = PeerCloseMonitor(loop)
--- a/lanelead/postgres_relay/connection_owner.py
+++ b/lanelead/postgres_relay/connection_owner.py
@@ -27,7 +27,7 @@
     driver: DecisionDriver
     tenants: Mapping[str, Tenant]
     max_query_bytes: int
-    full_read_bytes: int  # a read of so many bytes or more may have left some with the kernel, also with the client's
+    full_queue_bytes: int  # a read of so many bytes or more may have left some with the client's kernel
     response_slack: Ticks
     open_request_ids: dict[str, None]  # ids of the requests without a response so far
     executed_ids: ExecutedRequestIds
--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -24,6 +24,7 @@
 MAX_COMMANDS_PER_READ = 64  # a read with more queries is a protocol violation, and none of them runs
 MAX_RESPONSE_SLOTS = 1024  # commands without a response and rejections; one more command is a protocol violation
 MAX_INBOX_BYTES = 1 << 20  # texts of commands that are not handled yet; further ones are rejected unread
+COMMAND_BYTES = 300  # counted for each command that waits, in addition to its text
 MAX_DISCARDED_BYTES = 1 << 22  # read and discarded after a protocol violation; then the relay stops reading
 
 
@@ -34,7 +35,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ReceivedCommand:
-    """A command that is not handled yet, with the time of its arrival in seconds and the bytes of its text."""
+    """A command that is not handled yet, with the time of its arrival in seconds and the bytes that it counts."""
 
     event: Event | OverLimit
     arrived_at: float
@@ -97,18 +98,21 @@
 
     def _may_handle(self, received: int) -> bool:
         """Returns whether commands may be handled, after a read of `received` bytes."""
-        if received < self.listener.full_read_bytes:
+        if self._has_read_all(received):
             self.read_ahead_bytes = 0
             return True
         self.read_ahead_bytes += received
         return self.reader.finished or self.read_ahead_bytes > MAX_READ_AHEAD_BYTES
 
+    def _has_read_all(self, received: int) -> bool:
+        """Returns whether neither kernel has further bytes of the client, after a read of `received`."""
+        return received < min(READ_BUFFER_BYTES, self.listener.full_queue_bytes)
+
     def _client_has_gone(self, received: int) -> bool:
         """Returns whether the client has closed after the bytes just read, and disconnects it in that case."""
         if not self.inbox:
             return False
-        has_read_all = received < self.listener.full_read_bytes
-        has_gone = has_closed_after_all(self.sock) if has_read_all else peer_has_closed(self.sock)
+        has_gone = has_closed_after_all(self.sock) if self._has_read_all(received) else peer_has_closed(self.sock)
         if has_gone:
             self.on_disconnect()
         return has_gone
@@ -144,18 +148,18 @@
 
     def _put_in_inbox(self, event: Event) -> None:
         received: Event | OverLimit = event
-        size = 0
+        size = COMMAND_BYTES
         if type(event) is Query:
-            size = len(event.text)
+            size += len(event.text)
             if len(self.slots) + len(self.inbox) >= MAX_RESPONSE_SLOTS:
                 if self.reader.finished:  # the violation is in the inbox already
                     return
                 self.reader.finished = True
                 received = ProtocolViolation("54000", f"more than {MAX_RESPONSE_SLOTS} commands wait for their answers")
-                size = 0
+                size = COMMAND_BYTES
             elif self.inbox_bytes and (self.inbox_bytes + size > MAX_INBOX_BYTES or self.listener.buffers.is_exceeded):
                 received = OverLimit()
-                size = 0
+                size = COMMAND_BYTES
         self.inbox.append(ReceivedCommand(received, self.last_activity, size))
         self.inbox_bytes += size
 
--- a/lanelead/postgres_relay/response_writer.py
+++ b/lanelead/postgres_relay/response_writer.py
@@ -13,7 +13,7 @@
 from lanelead.runtime.pending_requests import PendingRequest, RequestOutcome
 
 MAX_WRITE_BUFFER_BYTES = 1 << 18  # responses that the client has not read; above this the relay reads no requests
-SLOT_BYTES = 256  # counted for each response that waits, in addition to its text
+SLOT_BYTES = 1500  # counted for each response that waits and for its request's objects, in addition to their texts
 
 
 class ResponseWriter:
--- a/lanelead/runtime/memory_guard.py
+++ b/lanelead/runtime/memory_guard.py
@@ -60,8 +60,9 @@
             self._release()
             resident = self._measure()
         excess = max(0, resident - self._high_water_bytes)
-        least = min(MIN_BUFFERED_BYTES, self._planned_bytes)
-        self._budget.max_bytes = max(least, self._planned_bytes - excess)
+        if excess or self._is_short:
+            least = min(MIN_BUFFERED_BYTES, self._planned_bytes)
+            self._budget.max_bytes = max(least, self._planned_bytes - excess)
         self._log_change(excess > 0, resident)
 
     def _log_change(self, is_short: bool, resident: int) -> None:
--- a/lanelead/runtime/process_memory.py
+++ b/lanelead/runtime/process_memory.py
@@ -48,12 +48,13 @@
     send_queue_bytes: int
     is_sufficient: bool
 
-    def full_read_bytes(self, read_bytes: int) -> int:
-        """Returns how much a read of at most `read_bytes` has to bring, for the queue of a client to have been full.
+    @property
+    def full_queue_bytes(self) -> int:
+        """How much a read has to bring for the queue of a client to have been full.
 
         The client's kernel may then keep further bytes, and the client's close behind them.
         """
-        return min(read_bytes, self.receive_queue_bytes // QUEUE_OVERHEAD_FACTOR)
+        return self.receive_queue_bytes // QUEUE_OVERHEAD_FACTOR
 
     def bound_client_queues(self, sock: socket.socket) -> None:
         """Bounds the kernel's queues of a client's socket, or of those that a listening socket accepts."""
