A socket whose queue cannot be bounded is used all the same

A system call that fails must not cost a connection or the listening socket; where setsockopt of SO_RCVBUF or SO_SNDBUF fails, the system's own queue stays.

--- a/lanelead/runtime/process_memory.py
+++ b/lanelead/runtime/process_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 from dataclasses import dataclass
@@ -58,12 +59,17 @@
 
     def bound_client_queues(self, sock: socket.socket) -> None:
         """Bounds the kernel's queues of a client's socket, or of those that a listening socket accepts."""
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_queue_bytes)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_queue_bytes)
+        _set_queue(sock, socket.SO_RCVBUF, self.receive_queue_bytes)
+        _set_queue(sock, socket.SO_SNDBUF, self.send_queue_bytes)
 
     def bound_response_queue(self, sock: socket.socket) -> None:
         """Bounds the kernel's queue of what an endpoint sends; `buffered_bytes` bounds what it is sent."""
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.response_queue_bytes)
+        _set_queue(sock, socket.SO_RCVBUF, self.response_queue_bytes)
+
+
+def _set_queue(sock: socket.socket, option: int, size: int) -> None:
+    with contextlib.suppress(OSError):  # a connection with the system's own queue is better than none
+        sock.setsockopt(socket.SOL_SOCKET, option, size)
 
 
 def resident_bytes() -> int:
