--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import errno
-import resource
 import socket
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -17,6 +16,7 @@
 from lanelead.http_relay.response_texts import TOO_MANY_CONNECTIONS
 from lanelead.runtime.abandoned_requests import AbandonedRequests
 from lanelead.runtime.buffer_budget import BufferBudget
+from lanelead.runtime.descriptor_limit import descriptor_limit
 from lanelead.runtime.driver import DecisionDriver
 from lanelead.runtime.executed_request_ids import ExecutedRequestIds
 from lanelead.runtime.fair_work_queue import MAX_TURN_SECONDS, FairWorkQueue
@@ -84,7 +84,7 @@
         Guards against so many clients that no descriptor is left for connections to endpoints, so that every request
         would be rejected. The price is fewer clients than possible where few connections to endpoints are needed.
         """
-        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        descriptors = descriptor_limit()
         limit = min(self.quota.open_connections, max(1, (descriptors - RESERVED_DESCRIPTORS) // 2))
         if limit < self.quota.open_connections:
             self._log.warning(
--- a/lanelead/postgres_relay/service_parameters.py
+++ b/lanelead/postgres_relay/service_parameters.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import resource
 from dataclasses import dataclass
 from random import Random
 
@@ -20,6 +19,7 @@
 )
 from lanelead.postgres_relay.config import RelayConfig
 from lanelead.postgres_relay.connection_pool import PoolLimits
+from lanelead.runtime.descriptor_limit import descriptor_limit
 from lanelead.runtime.process_memory import MemoryPlan, plan_memory, resident_bytes
 
 RESERVED_DESCRIPTORS = 24  # for the listening socket, feeds, gossip, the log and the interpreter
@@ -55,7 +55,7 @@
     def read(cls, config: RelayConfig) -> ServiceParameters:
         """Reads the settings, which must have passed `check_settings`; measures what memory the process takes now."""
         parameters = config.parameters
-        given = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        given = min(config.limits.sockets, descriptor_limit())
         descriptors = max(8, given - RESERVED_DESCRIPTORS)
         max_clients = int(descriptors * CLIENT_DESCRIPTOR_SHARE)
         return cls(
--- a/tests/test_process_endings.py
+++ b/tests/test_process_endings.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import signal
 import socket
 import tempfile
@@ -13,7 +14,7 @@
 
 from lanelead.postgres_relay.client_connection import ClientConnection
 from lanelead.postgres_relay.config import load
-from lanelead.postgres_relay.service_parameters import ServiceParameters
+from lanelead.postgres_relay.service_parameters import RESERVED_DESCRIPTORS, ServiceParameters
 from lanelead.protocols.feeds import MessageError
 from tests.abuse.requests import RelayKind
 from tests.abuse.surroundings import MOST, relay_under_test
@@ -82,6 +83,11 @@
             with mock.patch("resource.getrlimit", return_value=(124, 124)):
                 parameters = ServiceParameters.read(config)
             self.assertEqual(parameters.max_clients + parameters.max_upstream_connections, 100)
+            with mock.patch("resource.getrlimit", return_value=(resource.RLIM_INFINITY, resource.RLIM_INFINITY)):
+                parameters = ServiceParameters.read(config)
+            self.assertEqual(
+                parameters.max_clients + parameters.max_upstream_connections, env.sockets - RESERVED_DESCRIPTORS
+            )
 
 
 class Draining(unittest.TestCase):
