Clients' receive queues are the kernel's own where memory is ample, and over HTTP

Cause: with a receive queue of some 24 KB a close is behind bytes that the client's kernel keeps. Requests are read 4 KB at a time there, so that a short read says little.

Change: queues are not bounded where 120 MB or more are left to divide (the platform's relay with 192 MB and 1,024 descriptors), nor over HTTP; the platform's relay counts what it has read since it came to an end, not the last read alone.

--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -99,7 +99,9 @@
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.memory.bound_client_queues(sock)  # accepted connections have the same limits
+        # Accepted connections have the same limit. Their receive queues are the kernel's: requests are read in small
+        # reads, and a client's close behind bytes that its own kernel keeps would be noticed too late.
+        self.memory.bound_send_queue(sock)
         sock.bind((host, port))
         sock.listen(min(MAX_BACKLOG, self._max_connections))
         self._sock = sock
--- a/lanelead/http_relay/request_intake.py
+++ b/lanelead/http_relay/request_intake.py
@@ -127,7 +127,7 @@
             if not self._inbox_overflowed:
                 self._put_in_inbox(event)
         self._track_head_start()
-        if len(data) < min(size, self._listener.memory.full_queue_bytes):
+        if len(data) < size:
             self._caught_up = True
             if self._inbox and has_closed_after_all(self._sock):
                 self._on_client_closed()
--- a/lanelead/postgres_relay/request_intake.py
+++ b/lanelead/postgres_relay/request_intake.py
@@ -105,8 +105,12 @@
         return self.reader.finished or self.read_ahead_bytes > MAX_READ_AHEAD_BYTES
 
     def _has_read_all(self, received: int) -> bool:
-        """Returns whether neither kernel has further bytes of the client, after a read of `received`."""
-        return received < min(READ_BUFFER_BYTES, self.listener.full_queue_bytes)
+        """Returns whether neither kernel has further bytes of the client, after a read of `received`.
+
+        Where as much has been read as a full queue holds, the client's kernel may be about to send more.
+        """
+        is_short = received < READ_BUFFER_BYTES and self.read_ahead_bytes + received < self.listener.full_queue_bytes
+        return is_short or not received
 
     def _client_has_gone(self, received: int) -> bool:
         """Returns whether the client has closed after the bytes just read, and disconnects it in that case."""
--- a/lanelead/runtime/process_memory.py
+++ b/lanelead/runtime/process_memory.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import socket
+import sys
 from dataclasses import dataclass
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -22,6 +23,7 @@
 # A few requests, and a few responses, of the largest size.
 MIN_BUFFERED_BYTES = 500_000
 MIN_RESPONSE_BYTES = 300_000
+AMPLE_BYTES = 120_000_000
 
 
 @dataclass(frozen=True)
@@ -35,11 +37,14 @@
     response_bytes
         Of responses that have arrived from the endpoints in part, together.
     receive_queue_bytes, response_queue_bytes
-        SO_RCVBUF of each connection to a client, and to an endpoint.
+        SO_RCVBUF of each connection to a client, unless `is_ample`, and to an endpoint.
     send_queue_bytes
         SO_SNDBUF of each connection to a client.
     is_sufficient
         Whether the limit leaves the least that these need.
+    is_ample
+        Whether it leaves so much that the kernel may choose the sizes of clients' receive queues. They are larger then,
+        and a client's close, which is behind all that the client has sent, is noticed earlier.
     """
 
     buffered_bytes: int
@@ -48,6 +53,7 @@
     response_queue_bytes: int
     send_queue_bytes: int
     is_sufficient: bool
+    is_ample: bool = False
 
     @property
     def full_queue_bytes(self) -> int:
@@ -55,11 +61,16 @@
 
         The client's kernel may then keep further bytes, and the client's close behind them.
         """
-        return self.receive_queue_bytes // QUEUE_OVERHEAD_FACTOR
+        return sys.maxsize if self.is_ample else self.receive_queue_bytes // QUEUE_OVERHEAD_FACTOR
 
     def bound_client_queues(self, sock: socket.socket) -> None:
         """Bounds the kernel's queues of a client's socket, or of those that a listening socket accepts."""
-        _set_queue(sock, socket.SO_RCVBUF, self.receive_queue_bytes)
+        if not self.is_ample:
+            _set_queue(sock, socket.SO_RCVBUF, self.receive_queue_bytes)
+        self.bound_send_queue(sock)
+
+    def bound_send_queue(self, sock: socket.socket) -> None:
+        """Bounds the kernel's queue of what a client has not received yet."""
         _set_queue(sock, socket.SO_SNDBUF, self.send_queue_bytes)
 
     def bound_response_queue(self, sock: socket.socket) -> None:
@@ -92,6 +103,7 @@
         response_queue_bytes=max(MIN_RESPONSE_QUEUE_BYTES, _queue_bytes(RECEIVE_QUEUE_SHARE * free_per_connection)),
         send_queue_bytes=_queue_bytes(SEND_QUEUE_SHARE * free_per_connection),
         is_sufficient=BUFFER_SHARE * free >= MIN_BUFFERED_BYTES,
+        is_ample=free >= AMPLE_BYTES,
     )
 
 
