Tests give a relay over HTTP the memory that their own process takes besides

Cause: the tests' process had grown beyond the 192 MB that the relay in it takes for given, so that clients could hold 0.5 MB, and bodies of 6 and 24 MB were refused. Change: the limit is a parameter of the service, and the tests add what their process takes. The product's limit is the same.

--- a/lanelead/http_relay/client_listener.py
+++ b/lanelead/http_relay/client_listener.py
@@ -25,7 +25,6 @@
 from lanelead.runtime.process_memory import plan_memory, resident_bytes
 from lanelead.settings.service_settings import ServiceSettings
 
-MEMORY_LIMIT_BYTES = 192_000_000  # that the process may take, with the kernel's queues of its connections
 SILENCE_TIMEOUT_SECONDS = 2.0  # without a byte of the rest of a request
 HEAD_TIMEOUT_SECONDS = 10.0  # for a head to arrive completely
 EXECUTED_ID_TIMEOUTS = 2  # for how many of the longest timeouts the id of a request that may have run is remembered
@@ -53,6 +52,7 @@
         state: Callable[[], Mapping[str, Any]],
         log: Any,
         tenants: Sequence[Tenant],
+        memory_limit_bytes: int,
     ) -> None:
         self.loop = loop
         self.driver = driver
@@ -74,7 +74,7 @@
         self._idle_limit_seconds = service.allowance.idle_limit_ms / 1000
         self._max_connections = self._connection_limit()
         # As many connections to endpoints as to clients.
-        self.memory = plan_memory(MEMORY_LIMIT_BYTES, resident_bytes(), 2 * self._max_connections)
+        self.memory = plan_memory(memory_limit_bytes, resident_bytes(), 2 * self._max_connections)
         self.buffers = BufferBudget(self.memory.buffered_bytes)
         self.malformed_requests = 0
 
--- a/lanelead/http_relay/service.py
+++ b/lanelead/http_relay/service.py
@@ -11,7 +11,7 @@
 from lanelead.decisions.balancer import Balancer
 from lanelead.decisions.interface import CastVote, Decisions, RequestClass, ServiceLimits, Tenant, Ticks
 from lanelead.decisions.zone_spillover import NO_ZONE_PREFERENCE
-from lanelead.http_relay.client_listener import MEMORY_LIMIT_BYTES, ClientListener
+from lanelead.http_relay.client_listener import ClientListener
 from lanelead.http_relay.connection_pool import PoolLimits
 from lanelead.http_relay.feed_clients import FeedClients
 from lanelead.http_relay.gossip_transport import GossipTransport
@@ -30,6 +30,7 @@
 
 DecisionWrapper = Callable[[Decisions], Decisions]  # for tests only: wraps the decisions that the driver calls
 
+MEMORY_LIMIT_BYTES = 192_000_000  # that the process may take, with the kernel's queues of its connections
 SWEEP_INTERVAL_SECONDS = 0.25
 DRAIN_SLACK_SECONDS = 1.0  # beyond the longest deadline of a request
 RESPONSE_HEAD_BYTES = 65536  # allowance for the head of an endpoint's response
@@ -37,9 +38,18 @@
 
 
 class Service(HostOperationsBase):
-    """One relay. `wrapper` is for tests only: it disables one guard of the decisions by wrapping them."""
-
-    def __init__(self, settings: RelaySettings, log: Any, wrapper: DecisionWrapper | None = None) -> None:
+    """One relay, whose process may take `memory_limit_bytes`.
+
+    `wrapper` is for tests only: it disables one guard of the decisions by wrapping them.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        log: Any,
+        wrapper: DecisionWrapper | None = None,
+        memory_limit_bytes: int = MEMORY_LIMIT_BYTES,
+    ) -> None:
         super().__init__(asyncio.get_running_loop(), log.bind(relay=settings.number))
         self._settings = settings
         self._stop = asyncio.Event()
@@ -68,11 +78,12 @@
             state=self.state,
             log=self._log,
             tenants=self._tenants,
+            memory_limit_bytes=memory_limit_bytes,
         )
         self.listener.after_event = self._after_event
         self.upstream.pools.memory = self.listener.memory
         self.upstream.pools.add_response_bytes = self.listener.buffers.add_responses
-        self._memory_guard = MemoryGuard(self.listener.buffers, MEMORY_LIMIT_BYTES, self._log)
+        self._memory_guard = MemoryGuard(self.listener.buffers, memory_limit_bytes, self._log)
         self._log.info("memory divided", memory_plan=str(self.listener.memory))
 
     # Assembly
--- a/tests/http_relay_environment.py
+++ b/tests/http_relay_environment.py
@@ -21,8 +21,9 @@
 import uvloop
 
 from lanelead.http import serialization
-from lanelead.http_relay.service import Service
+from lanelead.http_relay.service import MEMORY_LIMIT_BYTES, Service
 from lanelead.protocols.feeds import EndpointMessage
+from lanelead.runtime.process_memory import resident_bytes
 from lanelead.settings.read import read_text
 from lanelead.settings.relay_settings import RelaySettings
 from lanelead.testbed.emulators.discovery import DiscoveryServer
@@ -181,7 +182,9 @@
         assert isinstance(record, RelaySettings)
         self.settings = record
         ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self.relay = Service(record, structlog.wrap_logger(self.log))
+        # The relay shares the test's process, which takes memory of its own.
+        memory_limit_bytes = resident_bytes() + MEMORY_LIMIT_BYTES
+        self.relay = Service(record, structlog.wrap_logger(self.log), memory_limit_bytes=memory_limit_bytes)
         self._task = asyncio.create_task(self.relay.run(lambda host, port: ready.set_result(port)))
         self.port = await ready
 
