--- a/lanelead/postgres_relay/config.py
+++ b/lanelead/postgres_relay/config.py
@@ -26,7 +26,7 @@
 
     sockets: Annotated[int, Meta(ge=16)] = 1024
     cores: float = 1.0
-    memory_mb: Annotated[float, Meta(gt=0, le=MAX_MEMORY_MB)] = 128.0
+    memory_mb: float = 128.0
 
 
 class PlatformConfig(msgspec.Struct, frozen=True):
@@ -97,6 +97,8 @@
     except OSError as error:
         raise MessageError(f"cannot read {path}: {error.strerror}") from None
     _check_addresses(config)
+    if not 0 < config.limits.memory_mb <= MAX_MEMORY_MB:
+        raise MessageError(f"limits.memory_mb: {config.limits.memory_mb}; expected over 0 and at most {MAX_MEMORY_MB}")
     try:
         int(config.seed, 16)
     except ValueError:
