--- a/tests/abuse/surroundings.py
+++ b/tests/abuse/surroundings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import compileall
 import contextlib
 import functools
 import json
@@ -30,6 +31,12 @@
 os.execv(sys.executable, [sys.executable, '-m', *sys.argv[2:]])"
 
 
+@functools.cache
+def compile_as_deployed() -> None:
+    """Compiles the package, as `build` of deploy/balancer.toml does: a relay that compiles takes more memory."""
+    compileall.compile_dir(ROOT / "lanelead", quiet=1)
+
+
 def deployed_variables() -> dict[str, str]:
     """Returns the environment variables that `run` of deploy/balancer.toml sets."""
     command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
@@ -71,6 +78,7 @@
 
     async def start(self, folder: Path, *arguments: str, **variables: str) -> None:
         """Starts the process, with its limit of descriptors, and waits until it accepts connections."""
+        compile_as_deployed()
         self._start_again = functools.partial(self.start, folder, *arguments, **variables)
         self.log_file = self.log_file or folder / "relay.log"
         with self.log_file.open("ab") as log:
